Keep wide sets' leaky buckets on the counter, whole customers at a time

At fault: logic._ask and Restrictor.window counted fixed windows, only where no reading was fresh, and took the plain delay of a slow counter for crowding. Mend: shared.py keeps one bucket a customer on the counter; units in, leak by the clock, idle credit filled up and undone when two do so at once, refused units taken back, lost calls accounted. Crowding is delay above the least seen. Where not all calls can be made, the same customers are counted by all gateways.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -1,7 +1,7 @@
 """All decisions of the gateway. The types it takes and gives are in coralvale/interface.py.
 
 Ordinary path of a request: the customer's leaky bucket (NICC ND1621, clause 5 and figure 4), the guards, a
-server. Exception: a customer of whom this gateway sees too little is counted on the counter (`_ask`).
+server. Exception: a customer of whom this gateway sees too little has its bucket on the counter (`_ask`).
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from coralvale.health import LOST, NEWS, SILENCE, Host
 from coralvale.interface import Outcome, Repeat
 from coralvale.restrictor import QUIET, STEP, Restrictor
+from coralvale.shared import Shared
 from coralvale.state import Attempt, Held, Pace, Refusals
 
 TICK = 0.1  # s between looks at what is overdue: well under any delay that a client would notice
@@ -31,8 +32,6 @@
 MEMORY = 0.05  # weight of the newest of own events: twenty of them give a mean to a fifth
 PATIENT = 5.0  # usual delays that an attempt is given at least: by chance one in a hundred takes longer
 ROOM = 3.0  # usual delays before the aim that are kept for another attempt in place of a late one
-TRUST = 0.05  # share of the asking that comes back in a second after the counter was crowded
-DOUBT = 0.4  # share of the asking that one call without an answer in time takes away
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
@@ -51,8 +50,7 @@
         self.mean = sum(self.usual) / len(self.usual)
         self.done = Pace(MEMORY)
         self.retries = 1.0
-        self.asked: dict[int, tuple[float, api.Request, Restrictor, float]] = {}
-        self.trust, self.told_at = 1.0, 0.0  # share of the wanted calls to the counter that are made
+        self.shared = Shared(settings)
         self.born, self.step_at, self.ask_at = None, 0.0, 0.0
         self.refused, self.actions = Refusals(every=10.0), list[api.Action]()
         self.answers: dict[type, Any] = {
@@ -97,68 +95,73 @@
         restrictor.note(now, request.units)
 
     def _bucket(self, now: float, request: api.Request, restrictor: Restrictor) -> None:
-        if wait := restrictor.wait(request.units):
-            return self._refuse(request, "quota", wait)
-        restrictor.uncounted = min(restrictor.plan.burst, restrictor.uncounted + request.units)
+        wait = restrictor.wait(request.units)
+        if wait or restrictor.spent(now):
+            return self._refuse(request, "quota", wait or STEP)
         return self._admit(now, request, restrictor)
 
     def _ask(self, now: float, request: api.Request, restrictor: Restrictor) -> bool:
-        """Exception: adds a sparse customer's request to the counter and holds it till the total comes."""
-        # Only without a fresh reading or with a full bucket. All that is asked counts, so one call is enough.
-        stale = now - restrictor.heard_at > QUIET or restrictor.wait(request.units) > 0
-        if not (self.settings.may_count and stale and restrictor.sparse(request.units)):
+        """Exception: adds a sparse customer's request to the shared bucket, holds it till the total comes."""
+        if not self.settings.may_count or restrictor.soft() or not restrictor.sparse(request.units):
             return False
-        name, left = restrictor.window(now, request.customer)
-        if restrictor.spent == name:
-            self._refuse(request, "quota counted", left)
+        if restrictor.granted >= request.units:
+            restrictor.granted -= request.units
+            self._admit(now, request, restrictor, counted=True)
             return True
-        self.trust, self.told_at = min(1.0, self.trust + TRUST * (now - self.told_at)), now
-        in_time = request.expires_at - now > 2 * self.settings.counter_timeout + TICK
-        if name in self.asked or self.random.random() >= self.trust or not in_time:
-            return False
-        # Each call stands for those not made, so that the total tells of all that is asked.
-        amount = request.units / max(self.trust, 0.25)
-        self.asked[name] = (now, request, restrictor, amount)
-        self.actions.append(api.Count(name, amount + restrictor.uncounted, min(60.0, 2 * restrictor.length)))
-        restrictor.uncounted = 0.0
-        return True
+        if now < restrictor.full_till:
+            self._refuse(request, "quota counted", restrictor.full_till - now)
+            return True
+        calls = self.shared.ask(now, request, restrictor)
+        self.actions += calls
+        return bool(calls)
 
     def _counted(self, now: float, event: api.CounterReply) -> None:
-        """Lets in the first that the burst holds; without a total in time the bucket alone decides."""
-        if event.name not in self.asked:
+        """Lets in what the shared bucket holds; without a total in time this gateway's own decides."""
+        if (ask := self.shared.reply(now, event)) is None:
+            return None
+        request, restrictor = ask.request, ask.restrictor
+        if request is None:
+            self.actions += self.shared.undo(now, event, ask)
             return None
-        at, request, restrictor, amount = self.asked.pop(event.name)
         restrictor.drain(now)
-        failed = not event.ok or not math.isfinite(event.total)
-        # Late replies tell of a crowded counter before it fails; calls that fail only crowd it more.
-        crowded = 1.0 if failed else min(1.0, (now - at) / max(self.settings.counter_timeout, 1e-3))
-        self.trust = max(0.05, self.trust * (1 - DOUBT * crowded**2))
-        if failed:
+        if not event.ok or not math.isfinite(event.total):
+            restrictor.uncounted += 0.0 if event.maybe_added else ask.amount
+            restrictor.uncounted -= request.units  # put back when it is let in
             return self._bucket(now, request, restrictor)
-        if event.total - amount + request.units / 2 <= restrictor.plan.burst:
-            return self._admit(now, request, restrictor)
-        restrictor.spent = event.name
-        return self._refuse(request, "quota counted", restrictor.window(at, request.customer)[1])
+        wait, calls = self.shared.settle(now, event, ask)
+        self.actions += calls
+        if not wait:
+            return self._admit(now, request, restrictor, counted=True)
+        restrictor.full_till = now + wait
+        return self._refuse(request, "quota counted", wait)
 
     # The guards, then a server
 
-    def _admit(self, now: float, request: api.Request, restrictor: Restrictor) -> None:
+    def _admit(self, now: float, request: api.Request, restrictor: Restrictor, counted: bool = False) -> None:
+        """The guards, then a server; `counted`: the shared bucket has room for it, and holds its units."""
+        refusal = self._guard(now, request, restrictor)
+        self._sort(now)
+        host = None if refusal else self._pick_cold(now) or self._pick(now)
+        if host is None:
+            restrictor.uncounted -= request.units * counted
+            return self._refuse(request, *(refusal or ("no server", STEP)))
+        restrictor.charge(request.units, counted)
+        self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
+        self.requests[request.id] = Held(request, now, restrictor)
+        return self._send(now, self.requests[request.id], host)
+
+    def _guard(self, now: float, request: api.Request, restrictor: Restrictor) -> tuple[str, float] | None:
+        """Why a request that its bucket lets in is refused all the same, and for how long."""
         usual = self.usual[request.cls]
         if restrictor.open_full():
-            return self._refuse(request, "open limit", usual)
+            return "open limit", usual
         if wait := restrictor.ceiling_wait(request.units):
-            return self._refuse(request, "ceiling", wait)
+            return "ceiling", wait
         if request.expires_at - now < usual / 2:  # an answer would hardly come in time
-            return self._refuse(request, "too late", usual)
+            return "too late", usual
         if wait := self._pressed(now, request):
-            return self._refuse(request, "pressed", wait)
-        self._sort(now)
-        if (host := self._pick_cold(now) or self._pick(now)) is None:
-            return self._refuse(request, "no server", STEP)
-        restrictor.charge(request.units)
-        self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
-        self.requests[request.id] = Held(request, now, restrictor)
-        return self._send(now, self.requests[request.id], host)
+            return "pressed", wait
+        return None
 
     def _pressed(self, now: float, request: api.Request) -> float:
         """Seconds by which the expected wait (Little's law; one more at the mean delay) is over what may be.
@@ -280,8 +283,7 @@
             self.requests.pop(name, None)
 
     def _leave(self, now: float, event: api.Abandoned | api.StreamStarted) -> None:
-        for name in [n for n, (_, request, *_) in self.asked.items() if request.id == event.request]:
-            del self.asked[name]
+        self.shared.leave(event.request)
         if held := self.requests.get(event.request):
             self._close(event.request, held)
 
@@ -361,9 +363,8 @@
             self.ask_at = 0.0
             self.actions.append(api.FollowList() if self.settings.ask_for_list else api.FetchList())
         self.calm = [c * (1 + 0.01 * TICK) for c in self.calm]
-        for name, (at, *_) in list(self.asked.items()):
-            if now - at > 2 * self.settings.counter_timeout:  # a lost reply must not lose the request
-                self._counted(now, api.CounterReply(name, False, 0.0))
+        for name in self.shared.overdue(now):  # a lost reply must not lose the request
+            self._counted(now, api.CounterReply(name, False, 0.0))
         if now >= self.step_at:
             self.step_at += STEP
             if len(self.near) < len(self.warm):  # leaves the worst server for any other
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -15,6 +15,10 @@
 ASKING = 8.0  # s over which a customer's asking here is averaged: its mean gap there is some seconds
 LIGHT, HEAVY = 0.4, 1.0  # times its quota that a customer asks for, by what it asks here: surely under, over
 SPARSE = 2.0  # times that a request is over the part of the burst where the bucket cannot know
+WIDE = 8  # gateways of a set past which each sees too little of the customer, whatever its burst
+SLACK = 0.25  # share of the burst that a shared bucket may run below empty before it is put right
+AHEAD = 0.5  # share of this gateway's part of the burst that one call may take for requests to come
+KNOWN = 8.0  # s for which one whose shared bucket was full gets nothing by this gateway's own
 
 
 class Restrictor:
@@ -28,7 +32,9 @@
         self.own = self.own_late = self.use = 0.0  # own_late lags own by as much as readings lag use
         self.reading, self.heard_at = 0.0, -math.inf
         self.asking, self.asked_at = 0.0, now  # units a second asked for here, refused ones too
-        self.uncounted, self.spent = 0.0, -1  # units let in here and not counted; the window used up
+        self.granted = 0.0  # units that the shared bucket holds for requests to come here
+        self.uncounted = 0.0  # units let in here that the shared bucket has not been told of
+        self.full_till = -math.inf  # until when the shared bucket is known to have no room
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
         self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
 
@@ -36,7 +42,6 @@
         """Takes plan and set as a request names them: one that named others must not bind all that follow."""
         self.plan, self.entries = plan, max(1, entries)
         self.floor = plan.rate / self.entries
-        self.length = plan.burst / plan.rate if plan.rate else 0.0  # s that the burst is worth
 
     def drain(self, now: float) -> None:
         elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
@@ -70,22 +75,34 @@
         return max(0.0, short / self.plan.ceiling_rate) if self.plan.ceiling_rate else 0.0
 
     def sparse(self, units: float) -> bool:
-        """Whether this gateway's part of the burst is under half a request: own traffic tells little."""
-        return self.plan.rate > 0 and SPARSE * self.plan.burst < units * self.entries
+        """Whether own traffic tells little: many gateways, or a part of the burst under half a request."""
+        few = self.entries >= WIDE or SPARSE * self.plan.burst < units * self.entries
+        return self.plan.rate > 0 and few
 
-    def window(self, now: float, customer: int) -> tuple[int, float]:
-        """The counter's name for this burst's worth of time, and the time left in it."""
-        place = now / self.length + customer % 97 / 97  # customers' windows must not all begin at once
-        return customer << 24 | int(place) & 0xFFFFFF, (1 - place % 1) * self.length
+    def ahead(self) -> float:
+        """Units to take from the shared bucket beside a request's: only where that spares calls."""
+        part = AHEAD * self.plan.burst / self.entries
+        return part if part >= 1 else 0.0
+
+    def spent(self, now: float) -> bool:
+        """Whether the shared bucket was full of late: what is let in uncounted would come on top."""
+        return now < self.full_till + KNOWN
+
+    def soft(self) -> bool:
+        """Whether what is let in beyond the quota costs no more than it earns."""
+        return self.plan.excess_cost <= self.plan.excess_worth
 
     def open_full(self) -> bool:
         """Whether own attempts, hung ones too, reach the open limit, or its even part where no rate binds."""
         limit = self.plan.open_limit / (1 if self.plan.rate else self.entries)
         return limit > 0 and self.open >= max(1.0, limit)
 
-    def charge(self, units: float) -> None:
+    def charge(self, units: float, counted: bool = False) -> None:
+        """Takes a request's units; `counted`: the shared bucket holds them already."""
         self.fill = max(self.fill, min(self.fill + units, self.threshold(units)))
         self.passed += units
+        if not counted:
+            self.uncounted = min(self.plan.burst, self.uncounted + units)
         self.ceiling -= units * self.entries
 
     def step(self, now: float) -> None:
--- /dev/null
+++ b/coralvale/shared.py
@@ -0,0 +1,151 @@
+"""A sparse customer's leaky bucket, kept on the counter for all of its gateways together.
+
+A gateway that sees one of a customer's requests in many seconds can tell nothing of its use. One call adds
+the request's units to the customer's number and brings the total; less what leaks in the time since the
+number began, the total is the fill of the one bucket that the quota means.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+from coralvale import interface as api
+from coralvale.restrictor import SLACK, Restrictor
+
+LIFE = 50.0  # s that a number serves: each new one starts with a full burst, and none lives past 60
+START = 0.4  # share of the asking at the start: all gateways may start at once
+TRUST = 0.05  # share of the asking that comes back in a second after the counter was crowded
+GAIN = 0.04  # share by which the asking grows with a call that was answered without delay
+DOUBT = 0.4  # share of the asking that one call without an answer in time takes away
+CALM = 0.25  # share of the way from the least delay to the time-out under which a call was not delayed
+LEAST = 0.05  # share of the asking that goes on, to see when the counter has room again
+GOLDEN = (math.sqrt(5) - 1) / 2  # spreads customers' numbers evenly over 0 to 1
+MEAN = 0.05  # weight of the newest request in their mean worth
+DRIFT = 0.01  # share by which the least delay seen grows in a second: a counter may move
+
+
+@dataclass(slots=True)
+class Bucket:
+    """A leaky bucket on the counter: its number, when that began by the clock of all gateways, the quota."""
+
+    name: int
+    began: float
+    rate: float
+    most: float
+
+    def before(self, now: float, total: float, amount: float) -> float:
+        """The fill ahead of a call; below nought where what was not used has added up."""
+        return total - amount - self.rate * (now - self.began)
+
+
+@dataclass(slots=True)
+class Ask:
+    """A call that waits for its total. Without a request it fills up or takes back."""
+
+    at: float
+    bucket: Bucket
+    amount: float
+    restrictor: Restrictor
+    request: api.Request | None = None
+    ahead: float = 0.0  # units taken for requests still to come
+    fills: bool = False  # it fills up what an idle customer has not used
+
+
+class Shared:
+    """This gateway's calls to the counter: which are made, what their totals mean, how crowded it is."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self.asks: dict[int, deque[Ask]] = {}  # by name; totals of a name come in the order of its calls
+        self.trust, self.told_at = START, 0.0  # share of the wanted calls that are made
+        self.least = math.inf  # s that a call takes when nobody else is served
+        self.value = 0.0  # mean worth of the requests that a call may decide on
+
+    # Calls
+
+    def ask(self, now: float, request: api.Request, restrictor: Restrictor) -> list[api.Action]:
+        """The call that shall decide on a request, if one may."""
+        most = self.settings.counter_timeout
+        self.trust, since = min(1.0, self.trust + TRUST * (now - self.told_at)), now - self.told_at
+        self.told_at, self.least = now, self.least * (1 + DRIFT * since)
+        ahead = restrictor.ahead()
+        value = restrictor.plan.price * (1 + ahead)
+        self.value += MEAN * (value - self.value) if self.value else value
+        in_time = request.expires_at - now > 4 * most
+        # Where not all calls can be made, some customers are counted whole, by all of their gateways alike:
+        # a bucket that is told of a part of the use is no better than none.
+        if not in_time or request.customer * GOLDEN % 1 * self.value >= self.trust * value:
+            return []
+        plan, (name, began) = restrictor.plan, self._number(now, request.customer)
+        bucket = Bucket(name, began, plan.rate, plan.burst)
+        amount, restrictor.uncounted = request.units + ahead + restrictor.uncounted, 0.0
+        return [self._call(Ask(now, bucket, amount, restrictor, request, ahead))]
+
+    def _number(self, now: float, key: int) -> tuple[int, float]:
+        """The number that serves a customer now, and when it began; not all begin at once."""
+        place = now / LIFE + key % 97 / 97
+        return key << 24 | int(place) & 0xFFFFFF, now - place % 1 * LIFE
+
+    def _call(self, ask: Ask) -> api.Count:
+        self.asks.setdefault(ask.bucket.name, deque()).append(ask)
+        return api.Count(ask.bucket.name, ask.amount, 60.0)
+
+    # Replies
+
+    def reply(self, now: float, event: api.CounterReply) -> Ask | None:
+        """The call that a reply is to; every one tells how crowded the counter is."""
+        if not (asks := self.asks.get(event.name)):
+            return None
+        ask = asks.popleft()
+        if not asks:
+            del self.asks[event.name]
+        crowded, most = 1.0, max(self.settings.counter_timeout, 1e-3)
+        if event.ok:
+            # Late replies tell of a crowded counter before it fails; calls that fail only crowd it more.
+            took = min(now - ask.at, most)
+            self.least = min(self.least, took)
+            crowded = (took - self.least) / max(most - self.least, 1e-3)
+        change = 1 + GAIN if crowded < CALM else 1 - DOUBT * max(0.0, 2 * crowded - 1)
+        self.trust = max(LEAST, min(1.0, self.trust * change))
+        return ask
+
+    def settle(self, now: float, event: api.CounterReply, ask: Ask) -> tuple[float, list[api.Action]]:
+        """Seconds until the shared bucket has room, nought for now; and the calls that put it right."""
+        before, calls = self._right(now, event, ask)
+        bucket, units = ask.bucket, ask.amount - ask.ahead
+        over = max(0.0, before) + ask.amount - max(bucket.most, ask.amount)
+        wait = max(0.0, over - ask.ahead) / bucket.rate
+        if over > 0 and (back := ask.ahead + (units if wait else 0.0)):  # takes nothing that is not there
+            calls.append(self._call(Ask(now, bucket, -back, ask.restrictor)))
+        if over <= 0:
+            ask.restrictor.granted += ask.ahead
+        return wait, calls
+
+    def undo(self, now: float, event: api.CounterReply, ask: Ask) -> list[api.Action]:
+        """Takes back what another gateway filled up at the same time."""
+        twice = ask.fills and event.ok
+        if twice and ask.bucket.before(now, event.total, ask.amount) > -SLACK * ask.bucket.most / 2:
+            return [self._call(Ask(now, ask.bucket, -ask.amount, ask.restrictor))]
+        return []
+
+    def _right(self, now: float, event: api.CounterReply, ask: Ask) -> tuple[float, list[api.Action]]:
+        """The fill ahead of a call; what an idle customer has not used must not add up."""
+        bucket = ask.bucket
+        before = bucket.before(now, event.total, ask.amount)
+        if before >= -SLACK * bucket.most:
+            return before, []
+        return before, [self._call(Ask(now, bucket, -before, ask.restrictor, fills=True))]
+
+    def leave(self, request: str) -> None:
+        """A client has left: its call's reply decides nothing any more."""
+        for ask in (a for asks in self.asks.values() for a in asks):
+            if ask.request and ask.request.id == request:
+                ask.request = None
+                ask.restrictor.uncounted -= ask.amount  # taken back with the next call
+
+    def overdue(self, now: float) -> list[int]:
+        """Names of calls whose reply was lost: their requests must not wait for it."""
+        most = 2 * self.settings.counter_timeout
+        return [name for name, asks in self.asks.items() if now - asks[0].at > most]
