Spread the fleet's calls to discovery over its line, and wait for their turn

Checked: a probe logged each call's wait. Ruled out: lines of the whole list. At fault: Discovery._watch left a call after ANSWER, run came back within 0.05 to 1.5 s, and FollowList threw the known version away so that each call asked for the whole list. Mend: where calls wait in one line (ask_for_list) a call is given its turn, and each gateway draws its pause over the turns of the whole fleet, its first call after a restart too; FollowList keeps the version.

--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -21,6 +21,8 @@
 
 SILENT = 3.5  # s without a line, of which one is due every 2 s, after which a watch is dead
 ANSWER = 1.5  # s that the agent, which answers at once, may take for the head of its answer
+PATIENCE = 6.0  # s for that where calls wait in a line: one left early is served all the same, and fails
+TURN = 0.16  # s between the fleet's calls to a discovery that serves them in a line, so that it stays short
 CONNECT = 1.0  # s for a connection to the agent, which is on this machine
 BACKOFF, MOST_BACKOFF = 0.05, 1.0  # s before the next try, doubled each time, and jittered
 MAX_LINE = 8 * 1024 * 1024
@@ -55,8 +57,11 @@
         clock: Clock,
         on_change: Callable[[api.ListKind, tuple[api.Server, ...], list[Place]], None],
         silent: float = SILENT,
+        callers: int = 0,
     ) -> None:
+        """`callers`: how many gateways' calls wait in one line; nought where each is answered at once."""
         self.address, self.clock, self.on_change, self.silent = address, clock, on_change, silent
+        self.spread, self.patience = TURN * callers, PATIENCE if callers else min(silent, ANSWER)
         self.zones = {name: i for i, name in enumerate(zones)}
         self.kinds = {name: i for i, name in enumerate(kinds)}
         self.endpoints: dict[str, Endpoint] = {}
@@ -125,6 +130,9 @@
         )
         return Endpoint(server, ("", 0) if gone else read_address(entry["address"]))
 
+    def follow(self) -> None:
+        """Asks for what changes from now on: the watch does, and begins anew whenever it is lost."""
+
     def refresh(self) -> None:
         """Asks for the whole list, by a new watch from no version."""
         self.index = None
@@ -142,6 +150,8 @@
 
     async def run(self) -> None:
         """Watches for good. Nothing that goes wrong in one watch may end this: the list would age unseen."""
+        if self.spread and self.endpoints:  # gateways that were restarted together have a list to begin with
+            await asyncio.sleep(self.spread * self.random.random())
         while True:
             self.moved.clear()
             watching = asyncio.ensure_future(self._watch())
@@ -154,12 +164,15 @@
                     log.error("discovery: a watch failed", exc_info=error)
                 useful = not error and watching.result()
                 self.backoff = BACKOFF if useful else min(2 * self.backoff, MOST_BACKOFF)
-                # Jittered, so that gateways that lost discovery together do not come back together.
-                await asyncio.wait([moved], timeout=self.backoff * (0.5 + self.random.random()))
+                await asyncio.wait([moved], timeout=self._pause())
             finally:
                 watching.cancel()
                 moved.cancel()
 
+    def _pause(self) -> float:
+        """Jittered, so that gateways that lost discovery together do not come back together."""
+        return self.backoff * (0.5 + self.random.random()) + self.spread * self.random.random()
+
     async def _watch(self) -> bool:
         """Follows one watch to its end; tells whether it was of any use."""
         loop = asyncio.get_running_loop()
@@ -172,7 +185,7 @@
             return False
         while not watch.lost.done():
             # A watch cut off on the way stays open and says nothing for good.
-            limit = self.silent if watch.answered else min(self.silent, ANSWER)
+            limit = self.silent if watch.answered else self.patience
             left = watch.heard_at + limit - loop.time()
             if left <= 0:
                 log.warning("discovery: nothing heard for %.1f s, watching anew", limit)
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -83,7 +83,10 @@
         self.upstreams = Upstreams(
             self.clock, config.connect_timeout, config.conn_idle, share, config.settings.report_fields
         )
-        self.discovery = Discovery(config.discovery, config.zones, config.kinds, self.clock, self._listed)
+        callers = config.settings.gateways if config.settings.ask_for_list else 0
+        self.discovery = Discovery(
+            config.discovery, config.zones, config.kinds, self.clock, self._listed, callers=callers
+        )
         self.counter = self._make_counter(config.counter)
         self.actions: dict[type, Callable[[Any], None]] = {
             api.Send: self._send,
@@ -93,7 +96,7 @@
             api.SetTimer: self._set_timer,
             api.Probe: self._probe,
             api.Count: self._count,
-            api.FollowList: lambda _: self.discovery.refresh(),
+            api.FollowList: lambda _: self.discovery.follow(),
             api.FetchList: lambda _: self.discovery.refresh(),
             api.Log: lambda action: log.info("%s", action.text),
         }
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -32,7 +32,7 @@
 
 
 @contextlib.asynccontextmanager
-async def bench(silent: float = LIMIT) -> AsyncIterator[Bench]:
+async def bench(silent: float = LIMIT, callers: int = 0) -> AsyncIterator[Bench]:
     registry = Registry()
     await registry.start()
     discovery = Discovery(
@@ -42,6 +42,7 @@
         Clock(),
         lambda *news: result.news.put_nowait(news),
         silent,
+        callers,
     )
     result = Bench(registry, discovery)
     discovery.apply(
@@ -240,3 +241,47 @@
             assert set(b.discovery.endpoints) == {"s-1", "s-4"} and b.discovery.index is None
 
     run(test())
+
+
+def test_a_call_in_a_line_is_not_left_before_its_turn() -> None:
+    """One that is left is served all the same, and the next call waits behind it."""
+
+    async def test() -> None:
+        async with bench(silent=0.05, callers=1) as b:
+            arrived = await b.registry.next()
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(b.registry.next(), 0.4)
+            arrived.reply(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(line(42, entry("s-3", 3)))
+            )
+            await b.told()
+            await b.told()
+            assert set(b.discovery.endpoints) == {"s-1", "s-2", "s-3"}
+
+    run(test())
+
+
+def test_a_fleet_that_lost_discovery_together_comes_back_one_by_one() -> None:
+    def pauses(callers: int) -> list[float]:
+        drawn = []
+        for seed in range(40):
+            discovery = Discovery(("127.0.0.1", 1), (), (), Clock(), lambda *_: None, callers=callers)
+            discovery.random.seed(seed)
+            drawn.append(discovery._pause())
+        return sorted(drawn)
+
+    spread = pauses(40)
+    most = max(sum(at <= other < at + 1 for other in spread) for at in spread)
+    assert most <= 12  # a line of two seconds at a sixth of a second each: none waits too long
+    assert pauses(0)[-1] < 0.1  # an agent of one's own has no line
+
+
+def test_what_changes_is_followed_from_the_known_list_on() -> None:
+    """Asking to follow must not throw the known version away: a whole list costs discovery by the line."""
+
+    async def test() -> None:
+        async with bench() as b:
+            b.discovery.follow()
+            assert (await b.registry.watch()).message.first.endswith(b"&index=41 HTTP/1.1")
+
+    run(test())
