Pool a part of wide sets' ceilings on the counter; count customers by mean crowding

Gateways whose share of counted customers moved with each call disagreed on whom they count. At fault: Restrictor.ceiling_wait, which splits all of the ceiling evenly; Shared.reply's step by call. Mend: four tenths of a wide set's ceiling are a bucket on the counter, asked for what the even part of the rest does not hold; a number that is new or lost begins full, and the pool holds less by what it may run under, so that parts and pool together keep to the ceiling (tested with a counter that forgets). The share of counted customers moves each second by the mean crowding of recent calls.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -14,7 +14,7 @@
 from coralvale.health import LOST, NEWS, SILENCE, Host
 from coralvale.interface import Outcome, Repeat
 from coralvale.restrictor import QUIET, STEP, Restrictor
-from coralvale.shared import Shared
+from coralvale.shared import Ask, Shared
 from coralvale.state import Attempt, Held, Pace, Refusals
 
 TICK = 0.1  # s between looks at what is overdue: well under any delay that a client would notice
@@ -80,7 +80,7 @@
         self.settings.check(request)
         plan, restrictor = self.settings.plans[request.plan], self.customers.get(request.customer)
         if restrictor is None:
-            restrictor = Restrictor(plan, request.entry_gateways, now, self.born)
+            restrictor = Restrictor(plan, request.entry_gateways, now, self.born, self.settings.may_count)
             self.customers[request.customer] = restrictor
         if restrictor.plan is not plan or restrictor.entries != request.entry_gateways:
             restrictor.drain(now)
@@ -104,10 +104,6 @@
         """Exception: adds a sparse customer's request to the shared bucket, holds it till the total comes."""
         if not self.settings.may_count or restrictor.soft() or not restrictor.sparse(request.units):
             return False
-        if restrictor.granted >= request.units:
-            restrictor.granted -= request.units
-            self._admit(now, request, restrictor, counted=True)
-            return True
         if now < restrictor.full_till:
             self._refuse(request, "quota counted", restrictor.full_till - now)
             return True
@@ -124,6 +120,8 @@
             self.actions += self.shared.undo(now, event, ask)
             return None
         restrictor.drain(now)
+        if ask.bucket.pool:
+            return self._pooled(now, event, ask)
         if not event.ok or not math.isfinite(event.total):
             restrictor.uncounted += 0.0 if event.maybe_added else ask.amount
             restrictor.uncounted -= request.units  # put back when it is let in
@@ -135,28 +133,55 @@
         restrictor.full_till = now + wait
         return self._refuse(request, "quota counted", wait)
 
+    def _pooled(self, now: float, event: api.CounterReply, ask: Ask) -> None:
+        """Lets in what the pool of the ceiling holds; without a total nothing is known to be left."""
+        assert ask.request
+        wait, calls = STEP, list[api.Action]()
+        if event.ok and math.isfinite(event.total):
+            wait, calls = self.shared.settle(now, event, ask)
+        self.actions += calls
+        if wait:
+            return self._turn_away(ask.request, ask.restrictor, ask.counted, "ceiling", wait)
+        return self._admit(now, ask.request, ask.restrictor, ask.counted, pooled=True)
+
     # The guards, then a server
 
-    def _admit(self, now: float, request: api.Request, restrictor: Restrictor, counted: bool = False) -> None:
-        """The guards, then a server; `counted`: the shared bucket has room for it, and holds its units."""
-        refusal = self._guard(now, request, restrictor)
+    def _admit(
+        self,
+        now: float,
+        request: api.Request,
+        restrictor: Restrictor,
+        counted: bool = False,
+        pooled: bool = False,
+    ) -> None:
+        """The guards, then a server; the shared bucket (`counted`) or the pool may hold its units already."""
+        if refusal := self._guard(now, request, restrictor):
+            return self._turn_away(request, restrictor, counted, *refusal)
+        if not pooled and (wait := restrictor.ceiling_wait(request.units)):
+            if calls := self.shared.overflow(now, request, restrictor, counted):
+                self.actions += calls
+                return None
+            return self._turn_away(request, restrictor, counted, "ceiling", wait)
         self._sort(now)
-        host = None if refusal else self._pick_cold(now) or self._pick(now)
-        if host is None:
-            restrictor.uncounted -= request.units * counted
-            return self._refuse(request, *(refusal or ("no server", STEP)))
-        restrictor.charge(request.units, counted)
+        if (host := self._pick_cold(now) or self._pick(now)) is None:
+            return self._turn_away(request, restrictor, counted, "no server", STEP)
+        restrictor.charge(request.units, counted, pooled)
         self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
         self.requests[request.id] = Held(request, now, restrictor)
         return self._send(now, self.requests[request.id], host)
 
+    def _turn_away(
+        self, request: api.Request, restrictor: Restrictor, counted: bool, reason: str, wait: float
+    ) -> None:
+        """Refuses what the customer's bucket let in: units that were counted are taken back."""
+        restrictor.uncounted -= request.units * counted
+        self._refuse(request, reason, wait)
+
     def _guard(self, now: float, request: api.Request, restrictor: Restrictor) -> tuple[str, float] | None:
         """Why a request that its bucket lets in is refused all the same, and for how long."""
         usual = self.usual[request.cls]
         if restrictor.open_full():
             return "open limit", usual
-        if wait := restrictor.ceiling_wait(request.units):
-            return "ceiling", wait
         if request.expires_at - now < usual / 2:  # an answer would hardly come in time
             return "too late", usual
         if wait := self._pressed(now, request):
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -17,14 +17,17 @@
 SPARSE = 2.0  # times that a request is over the part of the burst where the bucket cannot know
 WIDE = 8  # gateways of a set past which each sees too little of the customer, whatever its burst
 SLACK = 0.25  # share of the burst that a shared bucket may run below empty before it is put right
-AHEAD = 0.5  # share of this gateway's part of the burst that one call may take for requests to come
+POOLED = 0.4  # share of a wide set's ceiling that is pooled on the counter; the rest is in even parts
 KNOWN = 8.0  # s for which one whose shared bucket was full gets nothing by this gateway's own
 
 
 class Restrictor:
     """One customer's leaky bucket, its leak rate, and this gateway's share of the ceiling."""
 
-    def __init__(self, plan: api.Plan, entries: int, now: float, born: float) -> None:
+    def __init__(
+        self, plan: api.Plan, entries: int, now: float, born: float, may_count: bool = False
+    ) -> None:
+        self.may_count = may_count
         self.settle(plan, entries)
         self.rate = self.floor
         self.fill, self.at, self.seen_at = 0.0, now, now
@@ -32,22 +35,28 @@
         self.own = self.own_late = self.use = 0.0  # own_late lags own by as much as readings lag use
         self.reading, self.heard_at = 0.0, -math.inf
         self.asking, self.asked_at = 0.0, now  # units a second asked for here, refused ones too
-        self.granted = 0.0  # units that the shared bucket holds for requests to come here
         self.uncounted = 0.0  # units let in here that the shared bucket has not been told of
         self.full_till = -math.inf  # until when the shared bucket is known to have no room
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
-        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
+        self.ceiling = min(self.ceiling_burst, self.ceiling_rate * (now - born))
 
     def settle(self, plan: api.Plan, entries: int) -> None:
         """Takes plan and set as a request names them: one that named others must not bind all that follow."""
         self.plan, self.entries = plan, max(1, entries)
         self.floor = plan.rate / self.entries
+        share = POOLED if self.may_count and self.entries >= WIDE else 0.0
+        self.ceiling_rate, self.ceiling_burst = (
+            (1 - share) * plan.ceiling_rate,
+            (1 - share) * plan.ceiling_burst,
+        )
+        # A pool may run below empty before it is put right, so it holds that much less.
+        self.pool = share * plan.ceiling_rate, share * plan.ceiling_burst / (1 + SLACK)
 
     def drain(self, now: float) -> None:
         elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
         self.fill = max(0.0, self.fill - self.rate * elapsed)
         if self.plan.ceiling_rate:  # a plan without one, named by mistake, leaves the customer's as it was
-            self.ceiling = min(self.plan.ceiling_burst, self.ceiling + self.plan.ceiling_rate * elapsed)
+            self.ceiling = min(self.ceiling_burst, self.ceiling + self.ceiling_rate * elapsed)
 
     def threshold(self, units: float) -> float:
         """Burst scaled with the leak rate, one request at least; more where letting in wrongly costs less."""
@@ -72,18 +81,13 @@
 
     def ceiling_wait(self, units: float) -> float:
         short = units * self.entries - self.ceiling  # shares are even, so a request takes for all
-        return max(0.0, short / self.plan.ceiling_rate) if self.plan.ceiling_rate else 0.0
+        return max(0.0, short / self.ceiling_rate) if self.plan.ceiling_rate else 0.0
 
     def sparse(self, units: float) -> bool:
         """Whether own traffic tells little: many gateways, or a part of the burst under half a request."""
         few = self.entries >= WIDE or SPARSE * self.plan.burst < units * self.entries
         return self.plan.rate > 0 and few
 
-    def ahead(self) -> float:
-        """Units to take from the shared bucket beside a request's: only where that spares calls."""
-        part = AHEAD * self.plan.burst / self.entries
-        return part if part >= 1 else 0.0
-
     def spent(self, now: float) -> bool:
         """Whether the shared bucket was full of late: what is let in uncounted would come on top."""
         return now < self.full_till + KNOWN
@@ -97,13 +101,14 @@
         limit = self.plan.open_limit / (1 if self.plan.rate else self.entries)
         return limit > 0 and self.open >= max(1.0, limit)
 
-    def charge(self, units: float, counted: bool = False) -> None:
-        """Takes a request's units; `counted`: the shared bucket holds them already."""
+    def charge(self, units: float, counted: bool = False, pooled: bool = False) -> None:
+        """Takes a request's units, unless the shared bucket or the pool of the ceiling holds them already."""
         self.fill = max(self.fill, min(self.fill + units, self.threshold(units)))
         self.passed += units
         if not counted:
             self.uncounted = min(self.plan.burst, self.uncounted + units)
-        self.ceiling -= units * self.entries
+        if not pooled:
+            self.ceiling -= units * self.entries
 
     def step(self, now: float) -> None:
         """Sets the leak rate: own use times the quota over metered use of the same, late, time."""
--- a/coralvale/shared.py
+++ b/coralvale/shared.py
@@ -2,7 +2,8 @@
 
 A gateway that sees one of a customer's requests in many seconds can tell nothing of its use. One call adds
 the request's units to the customer's number and brings the total; less what leaks in the time since the
-number began, the total is the fill of the one bucket that the quota means.
+number began, the total is the fill of the one bucket that the quota means. Another number pools a part of a
+ceiling, for those gateways that more of a customer's requests come to than their even part lets on.
 """
 
 from __future__ import annotations
@@ -15,12 +16,13 @@
 from coralvale.restrictor import SLACK, Restrictor
 
 LIFE = 50.0  # s that a number serves: each new one starts with a full burst, and none lives past 60
-START = 0.4  # share of the asking at the start: all gateways may start at once
-TRUST = 0.05  # share of the asking that comes back in a second after the counter was crowded
-GAIN = 0.04  # share by which the asking grows with a call that was answered without delay
-DOUBT = 0.4  # share of the asking that one call without an answer in time takes away
-CALM = 0.25  # share of the way from the least delay to the time-out under which a call was not delayed
-LEAST = 0.05  # share of the asking that goes on, to see when the counter has room again
+START = 0.5  # share of the customers that is counted at the start: all gateways may start at once
+BORNE = 0.1  # mean crowding at which that share stays as it is: some wait means that it is well used
+SWING = 1.0  # by which, for each second and unit of crowding off that, the logarithm of the share moves
+RECENT = 0.1  # weight of the newest call in the mean crowding: gateways that judge by single calls disagree
+FORGET = 5.0  # s in which crowding that is not seen any more is forgotten
+LEAST = 0.05  # share that is counted however crowded it is, to see when the counter has room again
+POOLS = 1 << 33  # past all customers' numbers
 GOLDEN = (math.sqrt(5) - 1) / 2  # spreads customers' numbers evenly over 0 to 1
 MEAN = 0.05  # weight of the newest request in their mean worth
 DRIFT = 0.01  # share by which the least delay seen grows in a second: a counter may move
@@ -34,6 +36,7 @@
     began: float
     rate: float
     most: float
+    pool: bool = False  # of a ceiling: a number that is new, or that the counter lost, begins full
 
     def before(self, now: float, total: float, amount: float) -> float:
         """The fill ahead of a call; below nought where what was not used has added up."""
@@ -49,7 +52,7 @@
     amount: float
     restrictor: Restrictor
     request: api.Request | None = None
-    ahead: float = 0.0  # units taken for requests still to come
+    counted: bool = False  # the customer's shared bucket holds the request's units already
     fills: bool = False  # it fills up what an idle customer has not used
 
 
@@ -59,7 +62,8 @@
     def __init__(self, settings: api.Settings) -> None:
         self.settings = settings
         self.asks: dict[int, deque[Ask]] = {}  # by name; totals of a name come in the order of its calls
-        self.trust, self.told_at = START, 0.0  # share of the wanted calls that are made
+        self.trust, self.told_at = START, 0.0  # share of the customers that are counted
+        self.crowded = 0.0  # mean share of the way from the least delay to the time-out that calls take
         self.least = math.inf  # s that a call takes when nobody else is served
         self.value = 0.0  # mean worth of the requests that a call may decide on
 
@@ -67,11 +71,12 @@
 
     def ask(self, now: float, request: api.Request, restrictor: Restrictor) -> list[api.Action]:
         """The call that shall decide on a request, if one may."""
-        most = self.settings.counter_timeout
-        self.trust, since = min(1.0, self.trust + TRUST * (now - self.told_at)), now - self.told_at
-        self.told_at, self.least = now, self.least * (1 + DRIFT * since)
-        ahead = restrictor.ahead()
-        value = restrictor.plan.price * (1 + ahead)
+        most, since, self.told_at = self.settings.counter_timeout, min(1.0, now - self.told_at), now
+        self.trust *= math.exp(SWING * since * (BORNE - self.crowded))
+        self.trust = max(LEAST, min(1.0, self.trust))
+        self.crowded *= math.exp(-since / FORGET)  # one that is not asked shows nothing
+        self.least *= 1 + DRIFT * since
+        value = restrictor.plan.price
         self.value += MEAN * (value - self.value) if self.value else value
         in_time = request.expires_at - now > 4 * most
         # Where not all calls can be made, some customers are counted whole, by all of their gateways alike:
@@ -80,8 +85,18 @@
             return []
         plan, (name, began) = restrictor.plan, self._number(now, request.customer)
         bucket = Bucket(name, began, plan.rate, plan.burst)
-        amount, restrictor.uncounted = request.units + ahead + restrictor.uncounted, 0.0
-        return [self._call(Ask(now, bucket, amount, restrictor, request, ahead))]
+        amount, restrictor.uncounted = request.units + restrictor.uncounted, 0.0
+        return [self._call(Ask(now, bucket, amount, restrictor, request))]
+
+    def overflow(
+        self, now: float, request: api.Request, restrictor: Restrictor, counted: bool
+    ) -> list[api.Action]:
+        """The call that takes a request's units from the pool of a ceiling, if there is one."""
+        if not restrictor.pool[0] or request.expires_at - now <= 4 * self.settings.counter_timeout:
+            return []
+        name, began = self._number(now, request.customer + POOLS)
+        bucket = Bucket(name, began, *restrictor.pool, pool=True)
+        return [self._call(Ask(now, bucket, request.units, restrictor, request, counted=counted))]
 
     def _number(self, now: float, key: int) -> tuple[int, float]:
         """The number that serves a customer now, and when it began; not all begin at once."""
@@ -107,20 +122,17 @@
             took = min(now - ask.at, most)
             self.least = min(self.least, took)
             crowded = (took - self.least) / max(most - self.least, 1e-3)
-        change = 1 + GAIN if crowded < CALM else 1 - DOUBT * max(0.0, 2 * crowded - 1)
-        self.trust = max(LEAST, min(1.0, self.trust * change))
+        self.crowded += RECENT * (crowded - self.crowded)
         return ask
 
     def settle(self, now: float, event: api.CounterReply, ask: Ask) -> tuple[float, list[api.Action]]:
         """Seconds until the shared bucket has room, nought for now; and the calls that put it right."""
+        assert ask.request
         before, calls = self._right(now, event, ask)
-        bucket, units = ask.bucket, ask.amount - ask.ahead
-        over = max(0.0, before) + ask.amount - max(bucket.most, ask.amount)
-        wait = max(0.0, over - ask.ahead) / bucket.rate
-        if over > 0 and (back := ask.ahead + (units if wait else 0.0)):  # takes nothing that is not there
-            calls.append(self._call(Ask(now, bucket, -back, ask.restrictor)))
-        if over <= 0:
-            ask.restrictor.granted += ask.ahead
+        bucket, fill = ask.bucket, max(0.0, before) + ask.amount
+        wait = max(0.0, fill - max(bucket.most, ask.amount)) / bucket.rate
+        if wait:  # takes nothing
+            calls.append(self._call(Ask(now, bucket, -ask.request.units, ask.restrictor)))
         return wait, calls
 
     def undo(self, now: float, event: api.CounterReply, ask: Ask) -> list[api.Action]:
@@ -136,14 +148,17 @@
         before = bucket.before(now, event.total, ask.amount)
         if before >= -SLACK * bucket.most:
             return before, []
-        return before, [self._call(Ask(now, bucket, -before, ask.restrictor, fills=True))]
+        # Neither a restart nor a lost number may refill a ceiling.
+        level = bucket.most if bucket.pool and event.total <= ask.amount * (1 + 1e-6) else 0.0
+        return level, [self._call(Ask(now, bucket, level - before, ask.restrictor, fills=True))]
 
     def leave(self, request: str) -> None:
         """A client has left: its call's reply decides nothing any more."""
         for ask in (a for asks in self.asks.values() for a in asks):
             if ask.request and ask.request.id == request:
                 ask.request = None
-                ask.restrictor.uncounted -= ask.amount  # taken back with the next call
+                if not ask.bucket.pool:
+                    ask.restrictor.uncounted -= ask.amount  # taken back with the next call
 
     def overdue(self, now: float) -> list[int]:
         """Names of calls whose reply was lost: their requests must not wait for it."""
