Share the servers out among the gateways on a ring, and keep to them

At fault: logic._sort and _draw; _pick_cold, over all cold servers; _pick for further attempts, over all warm. Mend: each gateway keeps to a stretch of a ring of all servers, by its number, so that each server is kept to by as many gateways and a change of the list moves a stretch by one; a server that fails is made up for. Cold ones in it get work by their warmth, at most 1.4 times the even share by warmth (the rule allows four times).

--- a/coralvale/adapter.py
+++ b/coralvale/adapter.py
@@ -116,6 +116,7 @@
         )
     return api.Settings(
         gateways=get("n_instances", whole),
+        index=get("me", whole, 0),
         zone=get("locality", whole, 0),
         classes=tuple(classes),
         plans=tuple(plans),
--- a/coralvale/health.py
+++ b/coralvale/health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 
 from coralvale import interface as api
 
@@ -17,6 +18,7 @@
 
     def __init__(self, info: api.Server, now: float) -> None:
         self.info, self.scale = info, max(info.scale, 0.01)
+        self.place = zlib.crc32(info.id.encode())  # on the ring that all gateways see alike
         self.out: dict[tuple[str, int], float] = {}  # attempts out, oldest first
         self.slow, self.heard_at = 1.0, now  # its delay over the fleet's for the same class
         self.failures, self.retry_at = 0.0, 0.0
--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -119,10 +119,12 @@
     advice: bool = True
     max_advice: float = 0.0
     most_units: float = math.inf  # that one request may take
+    index: int = 0  # this gateway's number among them
 
     def __post_init__(self) -> None:
         _require("gateways", self.gateways, 1)
         _require("max_attempts", self.max_attempts, 1)
+        _require("index", self.index, 0)
         _require("cold_share", self.cold_share, 0.0, 1.0)
         for name in ("drain_grace", "warm_after", "fall_multiple", "fall_window", "answer_slack"):
             _require(name, getattr(self, name), 0.0)
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -26,8 +26,9 @@
 CROWD = 2.5  # times the calm delay that work may wait: past that a longer queue adds no throughput
 CARRIED = 4.0  # requests that a server, of whatever size, is taken to work on at once without a queue
 ILL = 4.0  # times the wait counted for an ill server, which most of a fleet may be
-NEAR = 8  # servers that a gateway keeps to, so that its few attempts tell something of each
-FEWEST = 3  # of them drawn and compared for a request; more of both where few gateways share the fleet
+NEAR = 12  # servers that a gateway keeps to, so that its few attempts tell something of each
+HASTE = 1.4  # times its even share by warmth that a cold server may get: with four it may be pushed over
+FEWEST = 4  # of them drawn and compared for a request; more of both where few gateways share the fleet
 SOON = 0.25  # share of the aim after which one whom a quota refused may come back: later is too late
 MEMORY = 0.05  # weight of the newest of own events: twenty of them give a mean to a fifth
 PATIENT = 5.0  # usual delays that an attempt is given at least: by chance one in a hundred takes longer
@@ -41,7 +42,8 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
         self.customers, self.hosts = dict[int, Restrictor](), dict[str, Host]()
-        self.warm, self.cold, self.near = list[Host](), list[Host](), list[Host]()
+        self.warm, self.cold = list[Host](), list[Host]()
+        self.near, self.few = list[Host](), list[Host]()  # those of the warm and the cold that it keeps to
         self.sort_at = -math.inf  # when a cold server becomes warm
         self.busy: dict[Host, None] = {}  # servers with attempts out
         self.requests: dict[str, Held] = {}
@@ -235,27 +237,46 @@
             self.cold = [h for h in well if h.warmth(self.settings, now) < 1]
             ends = [h.info.started_at + self.settings.warm_after for h in self.cold]
             self.sort_at = min(ends, default=math.inf)
-            size = max(NEAR, 4 * len(self.warm) // self.settings.gateways)
-            self.near = self._draw(size) if size < len(self.warm) else self.warm
+            self._settle()
 
-    def _draw(self, size: int) -> list[Host]:
-        return self.random.choices(self.warm, weights=[h.scale for h in self.warm], k=size)
+    def _settle(self) -> None:
+        """Chooses the servers to keep to: a stretch of the ring that all gateways share out evenly.
+
+        Drawn by lot, some servers would be kept to by twice as many gateways as others, and each new draw
+        would open connections to all of them. Those that fail are tried on, but do not count.
+        """
+        ring = sorted(self.warm + self.cold, key=lambda h: h.place)
+        size = max(NEAR, 4 * len(ring) // self.settings.gateways)
+        start = self.settings.index * len(ring) // self.settings.gateways
+        self.near, self.few, count = [], [], 0
+        for host in ring[start:] + ring[:start]:
+            if count >= size and len(self.near) >= min(FEWEST, len(self.warm)):
+                break
+            count += host.failures < 1
+            (self.near if host in self.warm else self.few).append(host)
 
     def _pick_cold(self, now: float) -> Host | None:
-        """By lot, a cold server gets its surest warmth times its even share of own first attempts."""
-        # No short queue or saved credit counts, so hundreds of gateways add up to that share and no more.
-        lot = self.random.random() * sum(h.scale for h in self.warm + self.cold) if self.cold else 0.0
-        for host in self.cold:
-            if (lot := lot - host.scale * host.warmth(self.settings, now)) < 0:
+        """By lot, a cold server gets a part of own first attempts by its surest warmth."""
+        # That is no more than HASTE times its even share by warmth, however many others are cold as well. No
+        # short queue or saved credit counts, so hundreds of gateways add up to that share and no more.
+        shares = [h.scale * h.warmth(self.settings, now) for h in self.few]
+        near = sum(h.scale for h in self.near)
+        most = (near + sum(h.scale for h in self.few)) / HASTE
+        lot = self.random.random() * max(most, near + sum(shares))
+        for host, share in zip(self.few, shares, strict=True):
+            if (lot := lot - share) < 0:
                 return None if host.ill(now, self.mean) else host
         return None
 
     def _pick(self, now: float, held: Held | None = None) -> Host | None:
         """Of some near servers drawn by lot, against herding, the one with the least expected wait."""
-        pool = [h for h in self.warm if self._may_go(now, held, h)] if held else self.near
+        pool = self.near
+        if held:  # those that are near have a connection
+            pool = [h for h in self.near if self._may_go(now, held, h)]
+            pool = pool or [h for h in self.warm if self._may_go(now, held, h)]
         drawn = max(FEWEST, 4 * len(self.warm) // self.settings.gateways)
         if drawn < len(pool):
-            pool = self.random.sample(pool, k=drawn)
+            pool = self.random.choices(pool, [h.scale for h in pool], k=drawn)
         best, least = None, math.inf
         for host in pool:
             others = max(0.0, host.reported) if now - host.reported_at < QUIET / 2 else 0.0
@@ -392,9 +413,7 @@
             self._counted(now, api.CounterReply(name, False, 0.0))
         if now >= self.step_at:
             self.step_at += STEP
-            if len(self.near) < len(self.warm):  # leaves the worst server for any other
-                self.near.remove(max(self.near, key=lambda h: (h.ill(now, self.mean), h.slowness(now))))
-                self.near += self._draw(1)
+            self._settle()
             for name, restrictor in list(self.customers.items()):
                 restrictor.step(now)
                 if now - restrictor.seen_at > IDLE and not (restrictor.open or restrictor.fill):
