Let the meter tell what kind of customer it is where own requests are few

Checked: readings come with each answer and cover all gateways; a heavy customer reads over 1, a calm one 0.3. At fault: Restrictor.threshold, which went by own asking alone, and readings forgotten after QUIET, which is for rates, not for kinds. Mend: Restrictor.hear keeps a mean of the last readings; for a set of eight gateways or more it stands in for own asking while it is under 15 s old.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -344,7 +344,7 @@
             self.busy.pop(attempt.host, None)
         restrictor.open -= 1
         if event.usage is not None and 0 <= event.usage < math.inf:
-            restrictor.reading, restrictor.heard_at = event.usage, now
+            restrictor.hear(now, event.usage)
         if self.settings.settles_after and 0 <= (event.units or -1) < math.inf:  # corrects the guess
             restrictor.fill += event.units - held.request.units
         self._learn(now, held.request.cls, attempt.host, event)
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -18,6 +18,7 @@
 WIDE = 8  # gateways of a set past which each sees too little of the customer, whatever its burst
 SLACK = 0.25  # share of the burst that a shared bucket may run below empty before it is put right
 POOLED = 0.4  # share of a wide set's ceiling that is pooled on the counter; the rest is in even parts
+LASTING = 15.0  # s for which readings tell what kind of customer it is, if not its use of this moment
 KNOWN = 8.0  # s for which one whose shared bucket was full gets nothing by this gateway's own
 
 
@@ -34,6 +35,7 @@
         self.passed, self.open = 0.0, 0  # units let through since the last step; attempts out
         self.own = self.own_late = self.use = 0.0  # own_late lags own by as much as readings lag use
         self.reading, self.heard_at = 0.0, -math.inf
+        self.told = 0.0  # mean of the last few readings
         self.asking, self.asked_at = 0.0, now  # units a second asked for here, refused ones too
         self.uncounted = 0.0  # units let in here that the shared bucket has not been told of
         self.full_till = -math.inf  # until when the shared bucket is known to have no room
@@ -66,10 +68,18 @@
         # One that asks for little overall has the burst to itself, whichever gateway it comes to: a part of
         # it is a request or two, and by chance two that belong together come to the same gateway.
         asks = self.asking * math.exp((self.asked_at - self.at) / ASKING) * self.entries / rate
+        if self.entries >= WIDE and self.at - self.heard_at < LASTING:
+            asks = self.told  # where own requests are few, the meter tells more of it than they do
         spare = min(1.0, max(0.0, (HEAVY - asks) / (HEAVY - LIGHT)))
         share = self.rate / rate
         return max(units, self.plan.burst * (share + spare * (1 - share)) * 2 / (1 + cost))
 
+    def hear(self, now: float, reading: float) -> None:
+        """Takes down a reading of the meter: the customer's use over all gateways as a share of its rate."""
+        fresh = now - self.heard_at < LASTING
+        self.told += (SMOOTH if fresh else 1.0) * (reading - self.told)
+        self.reading, self.heard_at = reading, now
+
     def note(self, now: float, units: float) -> None:
         """Takes down that the customer has asked, when all has been decided by what it asked before."""
         self.asking = self.asking * math.exp((self.asked_at - now) / ASKING) + units / ASKING
--- a/tests/test_restrictor.py
+++ b/tests/test_restrictor.py
@@ -1,8 +1,9 @@
 """The leaky bucket against figures worked by hand."""
 
-from helpers import Bench
+from helpers import PLAN, Bench
 
 from coralvale import interface as api
+from coralvale.restrictor import Restrictor
 
 
 def kinds(actions: list[api.Action]) -> list[type]:
@@ -54,3 +55,25 @@
     for _ in range(9):
         bench.request(customer=1)
     assert kinds(bench.request(customer=2)[1]) == [api.Send]
+
+
+def test_where_own_requests_are_few_the_meter_tells_what_kind_of_customer_it_is() -> None:
+    """At one of thirty gateways two requests within seconds look like several times the quota."""
+    for reading, lets_in in ((0.2, True), (1.5, False)):
+        restrictor = Restrictor(PLAN, 30, now=100.0, born=0.0)
+        restrictor.note(100.0, 1.0)
+        restrictor.charge(1.0)
+        restrictor.hear(101.0, reading)
+        restrictor.drain(105.0)
+        assert (restrictor.wait(1.0) == 0.0) is lets_in
+        restrictor.drain(120.0)  # too long ago to tell of anything
+        restrictor.note(120.0, 3.0)
+        restrictor.charge(2.0)
+        assert restrictor.wait(2.0) > 0.0
+
+
+def test_a_single_reading_of_a_short_period_is_not_all_that_counts() -> None:
+    restrictor = Restrictor(PLAN, 30, now=100.0, born=0.0)
+    for at, reading in ((100.0, 0.0), (102.0, 0.4), (104.0, 1.2)):
+        restrictor.hear(at, reading)
+    assert 0.5 < restrictor.told < 0.9
