Let cold servers have up to half of what the rule on them allows

At fault: HASTE in logic._pick_cold, the same number whatever the rule's multiple. Mend: the cap is half of fall_multiple, so two times here, and the share by sure capacity under it.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -27,7 +27,7 @@
 CARRIED = 4.0  # requests that a server, of whatever size, is taken to work on at once without a queue
 ILL = 4.0  # times the wait counted for an ill server, which most of a fleet may be
 NEAR = 12  # servers that a gateway keeps to, so that its few attempts tell something of each
-HASTE = 1.4  # times its even share by warmth that a cold server may get: with four it may be pushed over
+HASTE = 0.5  # share of the multiple by which a cold server is pushed over that it may get at most
 FEWEST = 4  # of them drawn and compared for a request; more of both where few gateways share the fleet
 SOON = 0.25  # share of the aim after which one whom a quota refused may come back: later is too late
 MEMORY = 0.05  # weight of the newest of own events: twenty of them give a mean to a fifth
@@ -257,11 +257,11 @@
 
     def _pick_cold(self, now: float) -> Host | None:
         """By lot, a cold server gets a part of own first attempts by its surest warmth."""
-        # That is no more than HASTE times its even share by warmth, however many others are cold as well. No
+        # However many others are cold as well, that keeps far from what the rule on cold servers allows. No
         # short queue or saved credit counts, so hundreds of gateways add up to that share and no more.
         shares = [h.scale * h.warmth(self.settings, now) for h in self.few]
         near = sum(h.scale for h in self.near)
-        most = (near + sum(h.scale for h in self.few)) / HASTE
+        most = (near + sum(h.scale for h in self.few)) / max(1.0, HASTE * self.settings.fall_multiple)
         lot = self.random.random() * max(most, near + sum(shares))
         for host, share in zip(self.few, shares, strict=True):
             if (lot := lot - share) < 0:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -169,11 +169,13 @@
     assert 10 < sum(isinstance(a[0], api.Send) for a in sends) < 45  # a quarter of its capacity is sure
 
 
-def fleet_sends(servers: tuple[api.Server, ...], gateways: int, each: int) -> dict[str, int]:
+def fleet_sends(
+    servers: tuple[api.Server, ...], gateways: int, each: int, **changes: object
+) -> dict[str, int]:
     """What many gateways, each knowing only its own sends, send together within three seconds."""
     sent = dict.fromkeys((s.id for s in servers), 0)
     for seed in range(gateways):
-        bench = Bench(servers=servers, gateways=gateways, index=seed, seed=seed)
+        bench = Bench(servers=servers, gateways=gateways, index=seed, seed=seed, **changes)
         for i in range(each):
             bench.wait(3.0 / each)
             name, actions = bench.request(customer=seed * 100 + i)
@@ -196,6 +198,15 @@
     assert 0.2 < sum(sent.values()) / 1200 < 0.55
 
 
+def test_where_most_servers_are_cold_they_get_what_they_can_surely_do() -> None:
+    """36 of 60 are 29% warm: 30% of what the fleet can do, and no more than the rule's half each."""
+    cold = tuple(server(f"c{i}", started_at=99.9) for i in range(36))
+    servers = (*cold, *(server(f"w{i}") for i in range(24)))
+    sent = fleet_sends(servers, gateways=40, each=40, warm_after=30.0, fall_multiple=4.0)
+    share = sum(sent[s.id] for s in cold) / sum(sent.values())
+    assert 0.27 < share < 0.33
+
+
 def test_an_empty_and_a_shrinking_list_refuse_and_go_on() -> None:
     bench = Bench(servers=tuple(server(f"s{i}") for i in range(3)))
     held = [bench.request(customer=i)[0] for i in range(3)]
