Use the counter again soon after it was lost or crowded

At fault: Shared.ask, which moved the share by one constant both ways. Mend: RETURN, four times SWING, where calls are less crowded than borne.

--- a/coralvale/shared.py
+++ b/coralvale/shared.py
@@ -19,6 +19,7 @@
 START = 0.5  # share of the customers that is counted at the start: all gateways may start at once
 BORNE = 0.1  # mean crowding at which that share stays as it is: some wait means that it is well used
 SWING = 1.0  # by which, for each second and unit of crowding off that, the logarithm of the share moves
+RETURN = 4.0  # the same where it is less crowded: a counter that was lost for some seconds is soon used again
 RECENT = 0.1  # weight of the newest call in the mean crowding: gateways that judge by single calls disagree
 FORGET = 5.0  # s in which crowding that is not seen any more is forgotten
 LEAST = 0.05  # share that is counted however crowded it is, to see when the counter has room again
@@ -72,7 +73,8 @@
     def ask(self, now: float, request: api.Request, restrictor: Restrictor) -> list[api.Action]:
         """The call that shall decide on a request, if one may."""
         most, since, self.told_at = self.settings.counter_timeout, min(1.0, now - self.told_at), now
-        self.trust *= math.exp(SWING * since * (BORNE - self.crowded))
+        swing = SWING if self.crowded > BORNE else RETURN
+        self.trust *= math.exp(swing * since * (BORNE - self.crowded))
         self.trust = max(LEAST, min(1.0, self.trust))
         self.crowded *= math.exp(-since / FORGET)  # one that is not asked shows nothing
         self.least *= 1 + DRIFT * since
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -249,3 +249,12 @@
     assert bench.feed(api.CounterReply(call.name, True, 1.0)) == []
     assert bench.feed(api.CounterReply(call.name, True, 1.0)) == []  # a reply that nobody waits for
     assert bench.gateway.shared.asks == {} and bench.gateway.requests == {}
+
+
+def test_a_counter_that_was_lost_is_soon_used_again() -> None:
+    bench, counter = counting(), Counter()
+    bench.gateway.shared.trust = 0.05
+    for customer in range(100):
+        bench.wait(0.1)
+        counter.serve(bench, bench.request(customer=customer, entry_gateways=MANY)[1])
+    assert bench.gateway.shared.trust > 0.5
