Remember for twenty seconds who was counted full

Seen: of what goes beyond quotas half is let in uncounted by gateways beside the shared bucket; a customer that asks for several quotas comes to one of thirty gateways every 5 to 20 s, and what it learned held for 8 s. At fault: KNOWN, shorter than the time between a customer's requests at one gateway. The bound is the shared bucket's: a counted request is let in as soon as it has room.

--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -20,7 +20,7 @@
 SLACK = 0.25  # share of the burst that a shared bucket may run below empty before it is put right
 POOLED = 0.4  # share of a wide set's ceiling that is pooled on the counter; the rest is in even parts
 LASTING = 15.0  # s for which readings tell what kind of customer it is, if not its use of this moment
-KNOWN = 8.0  # s for which one whose shared bucket was full gets nothing by this gateway's own
+KNOWN = 20.0  # s for which one whose shared bucket was full gets nothing by this gateway's own
 
 
 class Restrictor:
