--- a/coralvale/shared.py
+++ b/coralvale/shared.py
@@ -16,7 +16,7 @@
 from coralvale.restrictor import SLACK, Restrictor
 
 LIFE = 50.0  # s that a number serves: each new one starts with a full burst, and none lives past 60
-START = 0.5  # share of the customers that is counted at the start: all gateways may start at once
+START = 0.75  # share of the customers that is counted at the start: all gateways may start at once
 BORNE = 0.1  # mean crowding at which that share stays as it is: some wait means that it is well used
 SWING = 1.0  # by which, for each second and unit of crowding off that, the logarithm of the share moves
 RETURN = 4.0  # the same where it is less crowded: a counter that was lost for some seconds is soon used again
@@ -25,7 +25,7 @@
 LEAST = 0.05  # share that is counted however crowded it is, to see when the counter has room again
 POOLS = 1 << 33  # past all customers' numbers
 GOLDEN = (math.sqrt(5) - 1) / 2  # spreads customers' numbers evenly over 0 to 1
-MEAN = 0.05  # weight of the newest request in their mean worth
+MEAN = 0.05  # weight of the newest request in the mean price of their plans
 DRIFT = 0.01  # share by which the least delay seen grows in a second: a counter may move
 
 
@@ -63,16 +63,18 @@
     def __init__(self, settings: api.Settings) -> None:
         self.settings = settings
         self.asks: dict[int, deque[Ask]] = {}  # by name; totals of a name come in the order of its calls
-        self.trust, self.told_at = START, 0.0  # share of the customers that are counted
+        self.trust, self.told_at = START, -math.inf  # share of the customers that are counted
         self.crowded = 0.0  # mean share of the way from the least delay to the time-out that calls take
         self.least = math.inf  # s that a call takes when nobody else is served
-        self.value = 0.0  # mean worth of the requests that a call may decide on
+        self.value = 0.0  # mean price of the plans of requests that a call may decide on
 
     # Calls
 
     def ask(self, now: float, request: api.Request, restrictor: Restrictor) -> list[api.Action]:
         """The call that shall decide on a request, if one may."""
-        most, since, self.told_at = self.settings.counter_timeout, min(1.0, now - self.told_at), now
+        most, since = self.settings.counter_timeout, min(1.0, now - self.told_at)
+        since = 0.0 if self.told_at == -math.inf else since
+        self.told_at = now
         swing = SWING if self.crowded > BORNE else RETURN
         self.trust *= math.exp(swing * since * (BORNE - self.crowded))
         self.trust = max(LEAST, min(1.0, self.trust))
