Read a list that comes indented, over several lines, as one message

The new test over a real connection, indented by 0 and by 2 and cut into pieces of 7 bytes and into one, fails on the program as it was in all four forms: each line is logged as "cannot use line", the index is thrown away, the watch is closed and asked for anew, without end, and no host is ever learnt. Excluded: the chunked framing (a list on one line in the same pieces is read) and the entries (they are the same).

Design: what has come up to a line end is decoded as JSON objects one after another. An error at the very end of the text means that the message is still coming, unless an empty line, the sign of life between messages, stands in it; any other error costs one line and has the whole list asked for, as before. An indented list is looked at where a brace may have ended it, not at each line, so a list of thousands of lines is not decoded thousands of times.

--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import random
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -25,7 +26,9 @@
 TURN = 0.16  # s between the fleet's calls to a discovery that serves them in a line, so that it stays short
 CONNECT = 1.0  # s for a connection to the agent, which is on this machine
 BACKOFF, MOST_BACKOFF = 0.05, 1.0  # s before the next try, doubled each time, and jittered
-MAX_LINE = 8 * 1024 * 1024
+MAX_MESSAGE = 8 * 1024 * 1024  # bytes of a list: thousands of hosts, indented
+EMPTY_LINE = re.compile(r"\n[ \t\r]*\n")
+DECODER = json.JSONDecoder()
 STATES = {
     "active": api.ServerState.HEALTHY,
     "leaving": api.ServerState.DRAINING,
@@ -191,15 +194,16 @@
                 log.warning("discovery: nothing heard for %.1f s, watching anew", limit)
                 watch.close()
             await asyncio.wait([watch.lost], timeout=max(left, 0.1))
-        return watch.lines > 0 and not watch.broken
+        return watch.heard and not watch.broken
 
 
 class Watch(asyncio.Protocol):
-    """One watch: a chunked answer that holds one JSON object a line."""
+    """One watch: a chunked answer of JSON objects, and of empty lines while nothing changes."""
 
     def __init__(self, owner: Discovery) -> None:
-        self.owner, self.rest, self.lines, self.answered = owner, b"", 0, False
-        self.broken = False
+        self.owner, self.rest = owner, b""
+        self.answered = self.heard = self.broken = False
+        self.begun = False  # whether `rest` holds lines of a message that has not come whole
         self.transport: asyncio.Transport | None = None
         loop = asyncio.get_running_loop()
         self.lost: asyncio.Future[None] = loop.create_future()
@@ -233,27 +237,49 @@
         if self.owner.connection is not self:  # what an agent left behind still had to say
             self.close()
             return
-        *lines, self.rest = (self.rest + body).split(b"\n")
-        if len(self.rest) > MAX_LINE:
-            raise ValueError("a line without end")
-        for line in lines:
-            self.heard_at = self.clock()
-            if line.strip():
-                self._line(line)
-            self.lines += 1
+        self.heard_at, self.heard = self.clock(), True
+        self.rest += body
+        if len(self.rest) > MAX_MESSAGE:
+            raise ValueError("a message without end")
+        # An indented message is not looked at line by line, but where its end or an empty line may have come.
+        if b"\n" in body and (b"}" in body or not self.begun or not body.strip()):
+            self._read()
         if self.broken:
             self.close()
 
-    def _line(self, line: bytes) -> None:
-        """One bad line must not lose the others; what it told is asked for anew, with the whole list."""
+    def _read(self) -> None:
+        """Takes out the messages that have come whole: an object on one line, or indented over several."""
+        whole, end, unfinished = self.rest.rpartition(b"\n")
+        text = (whole + end).decode(errors="replace").lstrip()
+        while text:
+            try:
+                message, size = DECODER.raw_decode(text)
+            except (json.JSONDecodeError, RecursionError) as error:
+                # A message that ends too early for JSON is still coming, unless an empty line is in it.
+                early = isinstance(error, json.JSONDecodeError) and error.pos >= len(text.rstrip())
+                if early and not EMPTY_LINE.search(text):
+                    break
+                size = text.index("\n")
+                self._spoilt(text[:size], error)
+            else:
+                self._apply(message)
+            text = text[size:].lstrip()
+        self.begun, self.rest = bool(text), text.encode() + unfinished
+
+    def _apply(self, message: Any) -> None:  # noqa: ANN401
         try:
-            self.owner.apply(json.loads(line))
-        except (ValueError, TypeError, AttributeError, RecursionError) as error:
-            log.warning("discovery: cannot use line %.200r: %r", line, error)
-            self.broken = True
+            self.owner.apply(message)
+        except (ValueError, TypeError, AttributeError) as error:
+            self._spoilt(json.dumps(message), error)
         if self.broken:
             self.owner.index = None
 
+    def _spoilt(self, text: str, error: Exception) -> None:
+        """One bad message must not lose the others; what it told is asked for anew, with the whole list."""
+        log.warning("discovery: cannot use message %.200r: %r", text, error)
+        self.broken = True
+        self.owner.index = None
+
     def on_message_complete(self) -> None:
         self.close()
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -222,6 +222,47 @@
     run(test())
 
 
+@pytest.mark.parametrize("indent", [0, 2])
+@pytest.mark.parametrize("piece", [7, 10_000])
+def test_a_list_may_come_indented_in_pieces_of_any_size(indent: int, piece: int) -> None:
+    """The watch goes on: a list taken for a spoilt one would be asked for anew, again and again."""
+
+    async def test() -> None:
+        async with bench() as b:
+            await b.told()
+            watch = await b.registry.watch()
+            hosts = [entry("s-3", 3, zone="}\u00e9{"), entry("s-4", 4)]
+            news = {"index": 42, "snapshot": True, "endpoints": hosts}
+            text = (
+                json.dumps(news, indent=indent, ensure_ascii=False)
+                + "\n\n"
+                + line(43, entry("s-5", 5)).decode()
+            )
+            data = text.encode()
+            for at in range(0, len(data), piece):
+                watch.reply(chunk(data[at : at + piece]))
+            kind, servers, _ = await b.told()
+            assert kind is api.ListKind.FULL and [s.id for s in servers] == ["s-3", "s-4"]
+            kind, servers, _ = await b.told()
+            assert kind is api.ListKind.CHANGES and [s.id for s in servers] == ["s-5"]
+            assert b.discovery.index == 43 and b.registry.connections == 1
+
+    run(test())
+
+
+def test_a_message_that_breaks_off_is_asked_for_anew_at_the_next_sign_of_life() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            await b.told()
+            watch = await b.registry.watch()
+            watch.reply(chunk(line(42, entry("s-3", 3))[:60] + b"\n"))
+            watch.reply(chunk(b"\n"))
+            again = await b.registry.watch()
+            assert again.message.first == b"GET /discovery/hosts?stream=1 HTTP/1.1"
+
+    run(test())
+
+
 def test_a_bad_index_or_field_costs_only_itself() -> None:
     async def test() -> None:
         async with bench() as b:
