Ask discovery again within a drain's grace, and before silence counts as told

What an agent learns at its return counts at once, but after some silent tries the watch waited 1.5 s for an answer (ANSWER) and up to 1.5 s more between tries (MOST_BACKOFF with its jitter): 3 s, where the settings grant 2 s (this site) or 1 s (the other). The new test has an agent accept six calls and leave them unanswered, then answer: with one call's and one pause's length past the grace it fails each time without the mend. And where lists are asked for, the pause after a silent watch was drawn over 0.16 s times the gateways, 32 s for 200 of them, while silence counts as told 6 s after it began (test_a_large_fleet_...). Excluded: the detection of silence itself (3.5 s, within the 6 s), and a move by SIGHUP (it asks at once).

Design: Discovery gets the grace from the settings; connect, answer and pause each take at most a quarter of it. The spread over a fleet's turns is held under what is left of the 6 s once silence has been noticed and an answer awaited, and under half of that time after other losses. A host's own agent costs nothing to ask, so nothing is priced by asking sooner.

--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -26,6 +26,9 @@
 TURN = 0.16  # s between the fleet's calls to a discovery that serves them in a line, so that it stays short
 CONNECT = 1.0  # s for a connection to the agent, which is on this machine
 BACKOFF, MOST_BACKOFF = 0.05, 1.0  # s before the next try, doubled each time, and jittered
+JITTER = 0.5  # share by which a pause is longer or shorter
+STEPS = 4  # a try to connect, one for an answer, a pause: together they stay under the drain's own limit
+SHORTEST = 0.1  # s that each of these has however short that limit is: the loop may be late by as much
 MAX_MESSAGE = 8 * 1024 * 1024  # bytes of a list: thousands of hosts, indented
 EMPTY_LINE = re.compile(r"\n[ \t\r]*\n")
 DECODER = json.JSONDecoder()
@@ -61,10 +64,23 @@
         on_change: Callable[[api.ListKind, tuple[api.Server, ...], list[Place]], None],
         silent: float = SILENT,
         callers: int = 0,
+        grace: float = math.inf,
+        told_within: float = math.inf,
     ) -> None:
-        """`callers`: how many gateways' calls wait in one line; nought where each is answered at once."""
+        """`callers`: how many gateways' calls wait in one line; nought where each is answered at once.
+
+        `grace`: s from when a drain counts as told until sending must have ended. What an agent learns when
+        it is back counts at once, so a try that came just too early must be over well within that.
+        `told_within`: s after a watch was lost in which what it misses counts as told.
+        """
         self.address, self.clock, self.on_change, self.silent = address, clock, on_change, silent
-        self.spread, self.patience = TURN * callers, PATIENCE if callers else min(silent, ANSWER)
+        self.spread = min(TURN * callers, told_within / 2)
+        self.rush = max(0.0, min(self.spread, told_within - silent - ANSWER))  # where silence took its time
+        step = math.inf if callers else max(SHORTEST, grace / STEPS)
+        self.connect_time, self.patience = min(CONNECT, step), PATIENCE
+        if not callers:
+            self.patience = min(silent, ANSWER, step)
+        self.most_backoff = min(MOST_BACKOFF, step / (1 + JITTER))
         self.zones = {name: i for i, name in enumerate(zones)}
         self.kinds = {name: i for i, name in enumerate(kinds)}
         self.endpoints: dict[str, Endpoint] = {}
@@ -166,7 +182,7 @@
                 if error := watching.exception():
                     log.error("discovery: a watch failed", exc_info=error)
                 useful = not error and watching.result()
-                self.backoff = BACKOFF if useful else min(2 * self.backoff, MOST_BACKOFF)
+                self.backoff = BACKOFF if useful else min(2 * self.backoff, self.most_backoff)
                 await asyncio.wait([moved], timeout=self._pause())
             finally:
                 watching.cancel()
@@ -174,14 +190,16 @@
 
     def _pause(self) -> float:
         """Jittered, so that gateways that lost discovery together do not come back together."""
-        return self.backoff * (0.5 + self.random.random()) + self.spread * self.random.random()
+        jittered = self.backoff * (1 - JITTER + 2 * JITTER * self.random.random())
+        silent = self.connection is not None and self.connection.silent
+        return jittered + (self.rush if silent else self.spread) * self.random.random()
 
     async def _watch(self) -> bool:
         """Follows one watch to its end; tells whether it was of any use."""
         loop = asyncio.get_running_loop()
         watch = self.connection = Watch(self)
         try:
-            async with asyncio.timeout(CONNECT):
+            async with asyncio.timeout(self.connect_time):
                 await loop.create_connection(lambda: watch, *self.address)
         except (OSError, TimeoutError):
             watch.close()
@@ -192,6 +210,7 @@
             left = watch.heard_at + limit - loop.time()
             if left <= 0:
                 log.warning("discovery: nothing heard for %.1f s, watching anew", limit)
+                watch.silent = watch.answered
                 watch.close()
             await asyncio.wait([watch.lost], timeout=max(left, 0.1))
         return watch.heard and not watch.broken
@@ -203,6 +222,7 @@
     def __init__(self, owner: Discovery) -> None:
         self.owner, self.rest = owner, b""
         self.answered = self.heard = self.broken = False
+        self.silent = False  # it was followed, and then said nothing for too long
         self.begun = False  # whether `rest` holds lines of a message that has not come whole
         self.transport: asyncio.Transport | None = None
         loop = asyncio.get_running_loop()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -16,7 +16,7 @@
 from coralvale import interface as api
 from coralvale.net.clock import Clock
 from coralvale.net.config import Place
-from coralvale.net.discovery import Discovery
+from coralvale.net.discovery import ANSWER, BACKOFF, SILENT, Discovery, Watch
 
 News = tuple[api.ListKind, tuple[api.Server, ...], list[Place]]
 
@@ -32,7 +32,7 @@
 
 
 @contextlib.asynccontextmanager
-async def bench(silent: float = LIMIT, callers: int = 0) -> AsyncIterator[Bench]:
+async def bench(silent: float = LIMIT, callers: int = 0, **limits: float) -> AsyncIterator[Bench]:
     registry = Registry()
     await registry.start()
     discovery = Discovery(
@@ -43,6 +43,7 @@
         lambda *news: result.news.put_nowait(news),
         silent,
         callers,
+        **limits,
     )
     result = Bench(registry, discovery)
     discovery.apply(
@@ -141,6 +142,40 @@
     run(test())
 
 
+def test_an_agent_that_is_back_is_asked_within_the_grace_of_a_drain() -> None:
+    """However long it was silent: what it has learnt counts from its return, before the next try comes."""
+
+    async def test() -> None:
+        async with bench(grace=1.0) as b:
+            for _ in range(6):  # accepted and left unanswered, and the pauses have grown to their longest
+                await b.registry.next()
+            returned = asyncio.get_running_loop().time()  # just too late for that call
+            watch = await b.registry.watch()
+            assert asyncio.get_running_loop().time() - returned < 1.0
+            watch.reply(chunk(line(42, entry("s-1", 1, status="leaving"))))
+            await b.told()
+            assert (await b.told())[1][0].state is api.ServerState.DRAINING
+
+    run(test())
+
+
+def test_a_large_fleet_asks_anew_before_what_silence_hid_counts_as_told() -> None:
+    """Two hundred calls of a sixth of a second each would take half a minute one after another."""
+
+    async def test() -> None:
+        discovery = Discovery(
+            ("127.0.0.1", 1), (), (), Clock(), lambda *_: None, callers=200, grace=1.0, told_within=6.5
+        )
+        lost = discovery.connection = Watch(discovery)
+        pauses = [discovery._pause() for _ in range(500)]
+        assert 3.0 < max(pauses) < 6.5 - ANSWER
+        lost.silent = True
+        pauses = [discovery._pause() for _ in range(500)]
+        assert 1.0 < max(pauses) < 6.5 - SILENT - ANSWER + 2 * BACKOFF
+
+    run(test())
+
+
 def test_a_refresh_asks_for_the_whole_list() -> None:
     async def test() -> None:
         async with bench() as b:
