Let the drain last as long as clients come, however short the deadlines are

Seen in the review: the drain ended 0.2 s before the longest deadline (Node.stop, DEADLINE and BEFORE). With deadlines of 0.2 s, as another customer may have, it was over at SIGTERM: the listener closed and the process left while clients still came for 0.4 s. Excluded: the steps themselves, which hold for deadlines of seconds.

Design: the kill comes no sooner than the longest deadline and 0.7 s after SIGTERM, so the drain ends 0.35 s before that.

--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -32,10 +32,9 @@
 TOLD = 6.0  # s after which what a watch has missed counts as told
 ACCEPT = 0.45  # s after SIGTERM in which new connections go on coming (0.2 to 0.4 s)
 CROSSED = 0.25  # s more, for clients whose request crossed the closing of their idle connection
-DEADLINE, BEFORE = (
-    3.0,
-    0.2,
-)  # s: the kill leaves the longest deadline, this at most, to answer; some less is used
+DEADLINE = 3.0  # s that a kill leaves for the longest deadline, at most
+KILLED = 0.7  # s after that deadline, from SIGTERM on, before which no kill comes
+BEFORE = 0.35  # s of that time that are left unused, as the process may be late itself
 FLUSH = 0.1  # s for the last answers to leave
 RESERVE = 64  # descriptors for all but clients and hosts: listener, watch, counter, logs, the loop's own
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
@@ -388,7 +387,7 @@
             return
         log.info("stopping")
         self.ready = False
-        last = min(DEADLINE, max(c.give_up for c in self.settings.classes)) - BEFORE
+        last = min(DEADLINE, max(c.give_up for c in self.settings.classes)) + KILLED - BEFORE
         self.ends_at = self.clock.now() + last
         self.server.drain()
         self.loop.call_later(min(ACCEPT, last), self._linger)
