Give a new connection time for its first request in a drain

The new test has one such connection beside an idle one when the drain's step is taken; without the mend it is closed each time. Excluded: one with a request there unread (it was spared already).

Design: a connection that has not asked yet has the quarter second that one has elsewhere before it gives way (SETTLING).

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -31,6 +31,8 @@
 SHORT_IDLE = 2.0  # the same when connections are getting short: more than half of the bound is taken
 SETTLING = 0.25  # s that a new connection has to say something, where another waits for its place
 STUCK = 10.0  # s that a client may leave an answer unread
+BACKLOG = 1024  # connections that the kernel accepts for us ahead
+ACCEPTS = 64  # of them taken at once, before others have their turn
 PAUSE = 0.05  # s without accepting after an accept has failed
 SWEEP = 0.25
 
@@ -415,7 +417,7 @@
         self.socket.bind(address)
 
     def start(self) -> None:
-        self.socket.listen(1024)
+        self.socket.listen(BACKLOG)
         self._resume()
         self.sweep = self.loop.call_later(SWEEP, self._sweep)
 
@@ -436,7 +438,7 @@
             self.loop.remove_reader(self.socket.fileno())
 
     def _accept(self) -> None:
-        for _ in range(64):
+        for _ in range(ACCEPTS):
             if len(self.connections) >= self.most + self.surplus:
                 if not readable(self.socket.fileno()):
                     return
@@ -552,8 +554,11 @@
         self.socket.close()
 
     def close_idle(self) -> None:
+        """Closes what stands idle; the first request of a new connection may be right behind it."""
+        now = time.monotonic()
         for connection in list(self.connections):
-            connection.close_idle()
+            if connection.asked or now - connection.opened_at >= SETTLING:
+                connection.close_idle()
 
     def close(self) -> None:
         self._pause()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -340,6 +340,27 @@
     run(test())
 
 
+def test_a_new_connection_has_time_for_its_first_request_in_a_drain() -> None:
+    """One that came in as the idle ones were closed: its request may be a moment behind it."""
+
+    async def test() -> None:
+        host = await Peer(answer(body=b"done")).start()
+        async with world(entry("s-1", host.port)) as w:
+            send_all(w, "s-1")
+            idle = await w.client()
+            assert (await idle.ask(b"GET /up HTTP/1.1\r\n\r\n")).status == 503
+            client = await w.client()
+            await until(lambda: len(w.node.server.connections) == 2)
+            for due, step in stop_by_hand(w):
+                if due <= 0.5:
+                    step()
+            assert await idle.at_end()
+            assert (await client.ask(request())).body == b"done"
+        host.stop()
+
+    run(test())
+
+
 def test_what_is_unanswered_before_the_kill_is_answered_then(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         host = await Peer().start()
