Take all that the kernel has accepted before the listener is closed

Seen in the review: Server.stop_accepting took one batch of 64 connections and closed the listener, which resets the others that the kernel had accepted, requests and all. The new test opens 100 connections while the loop does not run and takes that step; without the mend 36 of them are reset each time. The batches now go on for the whole length of the backlog.

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -549,7 +549,8 @@
 
     def stop_accepting(self) -> None:
         """Takes what the kernel has accepted already, then closes the listener."""
-        self._accept()
+        for _ in range(BACKLOG // ACCEPTS):
+            self._accept()
         self._pause()
         self.socket.close()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -361,6 +361,26 @@
     run(test())
 
 
+def test_all_that_the_kernel_accepted_is_taken_before_the_listener_is_closed() -> None:
+    async def test() -> None:
+        host = await Peer(answer(body=b"done")).start()
+        async with world(entry("s-1", host.port), sockets=1024) as w:
+            w.script.on(api.Request, lambda e: [api.Send(e.id, "s-1", 0.0)])
+            address = ("127.0.0.1", w.node.server.port)
+            waiting = [socket.create_connection(address) for _ in range(100)]  # the loop accepts none of them
+            steps = stop_by_hand(w)
+            next(step for _, step in steps if step == w.node._stop_accepting)()
+            for i, one in enumerate(waiting):
+                one.setblocking(False)
+                reader, writer = await asyncio.open_connection(sock=one)
+                writer.write(request(f"r{i}"))
+                assert b"done" in await soon(reader.read())
+                writer.close()
+        host.stop()
+
+    run(test())
+
+
 def test_what_is_unanswered_before_the_kill_is_answered_then(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         host = await Peer().start()
