Answer in a drain what has come behind an open request, too

Seen in the review: an answer given after SIGTERM said "Connection: close" when it was made (Exchange.reply), whatever stood behind it. Its connection was then half closed, and a request behind it on the same connection, already taken and sent to a host, lost its answer; writing it raised "Cannot call write() after write_eof()" in the node, before the module was told of the outcome. Excluded: one request at a time on a connection, as the usual clients send (held by the drain's other test), and connections closed between requests.

Design: whether an answer is the last is decided when it is written, when all is known that has come: no whole request, no part of one, nothing unread. The new test sends two requests and half of a third ahead of SIGTERM; without the mend the second is lost each time.

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -48,6 +48,7 @@
     504: "Gateway Timeout",
 }
 STATUS_LINES = {status: f"HTTP/1.1 {status} {reason}\r\n".encode() for status, reason in REASONS.items()}
+LAST = b"Connection: close\r\n\r\n"  # ends the head of a connection's last answer
 # Headers of a request that concern one connection only or are written anew.
 NOT_PASSED_ON = {
     b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"content-length",
@@ -67,14 +68,17 @@
 class Exchange:
     """One request of a connection and its answer."""
 
-    __slots__ = ("answer", "body", "close", "connection", "fields", "headers", "held", "method", "target")
+    __slots__ = (
+        "answer", "body", "close", "connection", "content", "fields", "headers", "held", "method", "target",
+    )  # fmt: skip
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
         self.method = self.target = self.body = b""
         self.headers: list[tuple[bytes, bytes]] = []  # as they came
         self.fields: dict[bytes, bytes] = {}
-        self.answer: bytes | None = None
+        self.answer: bytes | None = None  # its head, but for what is known only when it is written
+        self.content = b""
         self.close = False
         self.held: Any = None  # the node's record of it
 
@@ -95,11 +99,7 @@
             parts.append(b"Content-Type: text/plain\r\n")
         if retry_after > 0:
             parts.append(b"Retry-After: %.3f\r\n" % retry_after)
-        self.close = self.close or self.connection.server.closing
-        if self.close:
-            parts.append(b"Connection: close\r\n")
-        parts += (b"\r\n", body if self.method != b"HEAD" else b"")
-        self.answer = b"".join(parts)
+        self.answer, self.content = b"".join(parts), body if self.method != b"HEAD" else b""
         self.connection.flush()
 
     def refuse(self, status: int, body: bytes = b"") -> None:
@@ -329,9 +329,10 @@
             return
         while self.exchanges and (answer := self.exchanges[0].answer) is not None:
             exchange = self.exchanges.popleft()
-            self.transport.write(answer)
+            last = exchange.close or self._drained()
+            self.transport.write(answer + (LAST if last else b"\r\n") + exchange.content)
             self.active_at = time.monotonic()
-            if exchange.close:
+            if last:
                 self.leave()
                 return
         self.rest()
@@ -339,6 +340,10 @@
             self.paused = False
             self.transport.resume_reading()
 
+    def _drained(self) -> bool:
+        """Whether the server is closing, and nothing more has come that would be owed an answer here."""
+        return self.server.closing and not (self.exchanges or self.reading or self.unread())
+
     def leave(self) -> None:
         """Closes once what is written has gone out; requests behind a closing one are not answered."""
         assert self.transport is not None
@@ -544,7 +549,7 @@
     # The end
 
     def drain(self) -> None:
-        """From now on each answer is the last of its connection."""
+        """From now on an answer is its connection's last, if no other request has come there."""
         self.closing = True
 
     def stop_accepting(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -310,6 +310,36 @@
     run(test())
 
 
+def test_what_has_come_behind_an_open_request_is_answered_in_a_drain() -> None:
+    """Whole or by half: only the answer that nothing has come behind says that it is the last."""
+
+    async def test() -> None:
+        host = await Peer().start()
+        async with world(entry("s-1", host.port)) as w:
+            send_all(w, "s-1", "s-1", "s-1")
+            client = await w.client()
+            third = request("r3")
+            client.send(request("r1") + request("r2") + third[:40])
+            waiting = [await host.next(), await host.next()]
+            (connection,) = w.node.server.connections
+            assert connection.reading
+            w.node.stop()
+            for arrived in waiting:
+                arrived.reply(answer(body=arrived.message.headers[b"x-request-id"]))
+            for id in (b"r1", b"r2"):
+                message = await client.receive()
+                assert message.body == id and b"connection" not in message.headers
+            client.send(third[40:])
+            (await host.next()).reply(answer(body=b"r3"))
+            message = await client.receive()
+            assert message.body == b"r3" and message.headers[b"connection"] == b"close"
+            assert await client.at_end()
+            await soon(w.node.stopped)
+        host.stop()
+
+    run(test())
+
+
 def stop_by_hand(w: World) -> list[tuple[float, Any]]:
     """SIGTERM, with the steps of the drain left to the test: when each is due, and what it does."""
     steps: list[tuple[float, Any]] = []
