Let go of requests behind the one that ends their connection

The new test fails without the mend each time, as r3 is never let go. Excluded: a client that leaves (its requests were let go in connection_lost).

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -349,7 +349,9 @@
         assert self.transport is not None
         self.ended = True
         self.server.waiting.pop(self, None)
-        if self.failed or self.reading or self.exchanges or self.unread():
+        coming = self.failed or self.reading or self.exchanges or self.unread()
+        self._let_go()
+        if coming:
             # Closing on bytes that are still coming in would reset the connection and take the answer along.
             self.transport.write_eof()
             if not self.paused:
@@ -372,6 +374,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.lost(self)
+        self._let_go()
+
+    def _let_go(self) -> None:
+        """What is still open here gets no answer any more: nobody waits for it."""
         for exchange in self.exchanges:
             if exchange.answer is None:
                 exchange.answer = b""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -340,6 +340,29 @@
     run(test())
 
 
+def test_a_request_behind_the_one_that_ends_its_connection_is_let_go() -> None:
+    """The module is told of both its client's leaving and its attempt's end; nothing is written any more."""
+
+    async def test() -> None:
+        host = await Peer().start()
+        async with world(entry("s-1", host.port)) as w:
+            send_all(w, "s-1", "s-1")
+            client = await w.client()
+            client.send(request("r1") + request("r2", Plan="unknown") + request("r3"))
+            two = [await host.next(), await host.next()]
+            first, third = sorted(two, key=lambda arrived: arrived.message.headers[b"x-request-id"])
+            first.reply(answer(body=b"done"))
+            assert (await client.receive()).body == b"done" and (await client.receive()).status == 400
+            assert await client.at_end()
+            assert [e.request for e in w.script.of(api.Abandoned)] == ["r3"]
+            third.reply(answer(body=b"late"))
+            done = await w.done(2)
+            assert done.request == "r3" and not w.node.held
+        host.stop()
+
+    run(test())
+
+
 def stop_by_hand(w: World) -> list[tuple[float, Any]]:
     """SIGTERM, with the steps of the drain left to the test: when each is due, and what it does."""
     steps: list[tuple[float, Any]] = []
