--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import random
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -14,7 +15,6 @@
 import httptools
 
 from coralvale import interface as api
-from coralvale.net.clock import Clock
 from coralvale.net.config import Address, Place, read_address
 
 log = logging.getLogger(__name__)
@@ -25,7 +25,12 @@
 TURN = 0.16  # s between the fleet's calls to a discovery that serves them in a line, so that it stays short
 CONNECT = 1.0  # s for a connection to the agent, which is on this machine
 BACKOFF, MOST_BACKOFF = 0.05, 1.0  # s before the next try, doubled each time, and jittered
-MAX_LINE = 8 * 1024 * 1024
+JITTER = 0.5  # share by which a pause is longer or shorter
+STEPS = 4  # a try to connect, one for an answer, a pause: together they stay under the drain's own limit
+SHORTEST = 0.1  # s that each of these has however short that limit is: the loop may be late by as much
+MAX_MESSAGE = 8 * 1024 * 1024  # bytes of a list: thousands of hosts, indented
+EMPTY_LINE = re.compile(r"\n[ \t\r]*\n")
+DECODER = json.JSONDecoder()
 STATES = {
     "active": api.ServerState.HEALTHY,
     "leaving": api.ServerState.DRAINING,
@@ -35,16 +40,19 @@
 
 @dataclass(slots=True)
 class Endpoint:
-    """A listed host: what the module knows of it, its address here, and since when it is to be left alone."""
+    """A listed host: what the module knows of it, and its address here."""
 
     server: api.Server
     address: Address
-    leaving_since: float | None = None
 
     @property
     def place(self) -> Place:
         return self.server.id, self.server.started_at, self.address
 
+    @property
+    def leaving(self) -> bool:
+        return self.server.state is api.ServerState.DRAINING
+
 
 class Discovery:
     """Follows the list; `on_change(kind, servers, stale)` gets what changed and which hosts to let go."""
@@ -54,14 +62,26 @@
         address: Address,
         zones: tuple[str, ...],
         kinds: tuple[str, ...],
-        clock: Clock,
         on_change: Callable[[api.ListKind, tuple[api.Server, ...], list[Place]], None],
         silent: float = SILENT,
         callers: int = 0,
+        grace: float = math.inf,
+        told_within: float = math.inf,
     ) -> None:
-        """`callers`: how many gateways' calls wait in one line; nought where each is answered at once."""
-        self.address, self.clock, self.on_change, self.silent = address, clock, on_change, silent
-        self.spread, self.patience = TURN * callers, PATIENCE if callers else min(silent, ANSWER)
+        """`callers`: how many gateways' calls wait in one line; nought where each is answered at once.
+
+        `grace`: s from when a drain counts as told until sending must have ended. What an agent learns when
+        it is back counts at once, so a try that came just too early must be over well within that.
+        `told_within`: s after a watch was lost in which what it misses counts as told.
+        """
+        self.address, self.on_change, self.silent = address, on_change, silent
+        self.spread = min(TURN * callers, told_within / 2)
+        self.rush = max(0.0, min(self.spread, told_within - silent - ANSWER))  # where silence took its time
+        step = math.inf if callers else max(SHORTEST, grace / STEPS)
+        self.connect_time, self.patience = min(CONNECT, step), PATIENCE
+        if not callers:
+            self.patience = min(silent, ANSWER, step)
+        self.most_backoff = min(MOST_BACKOFF, step / (1 + JITTER))
         self.zones = {name: i for i, name in enumerate(zones)}
         self.kinds = {name: i for i, name in enumerate(kinds)}
         self.endpoints: dict[str, Endpoint] = {}
@@ -77,7 +97,7 @@
         entries, index = message.get("endpoints", []), message.get("index")
         if not isinstance(entries, list):
             raise ValueError("endpoints: no list")
-        full, now = bool(message.get("snapshot")) or cached, self.clock.now()
+        full = bool(message.get("snapshot")) or cached
         changed: list[api.Server] = []
         before, listed = self.endpoints, {} if full else dict(self.endpoints)
         for entry in entries:
@@ -89,14 +109,11 @@
                 if not (full and known):
                     continue
                 endpoint = known  # one bad field must not take a host from the list
-            name, old = endpoint.server.id, before.get(endpoint.server.id)
+            name = endpoint.server.id
             changed.append(endpoint.server)
             if endpoint.server.state is api.ServerState.GONE:
                 listed.pop(name, None)
                 continue
-            if endpoint.server.state is api.ServerState.DRAINING:
-                since = old.leaving_since if old else None
-                endpoint.leaving_since = now if since is None else since
             listed[name] = endpoint
         self.endpoints = listed
         # A host that drains, has gone, restarted or moved: connections kept to it serve nothing new.
@@ -109,7 +126,7 @@
 
     @staticmethod
     def _replaced(old: Endpoint, new: Endpoint | None) -> bool:
-        if new is None or new.leaving_since is not None or new.address != old.address:
+        if new is None or new.leaving or new.address != old.address:
             return True
         return new.server.started_at != old.server.started_at
 
@@ -163,7 +180,7 @@
                 if error := watching.exception():
                     log.error("discovery: a watch failed", exc_info=error)
                 useful = not error and watching.result()
-                self.backoff = BACKOFF if useful else min(2 * self.backoff, MOST_BACKOFF)
+                self.backoff = BACKOFF if useful else min(2 * self.backoff, self.most_backoff)
                 await asyncio.wait([moved], timeout=self._pause())
             finally:
                 watching.cancel()
@@ -171,14 +188,16 @@
 
     def _pause(self) -> float:
         """Jittered, so that gateways that lost discovery together do not come back together."""
-        return self.backoff * (0.5 + self.random.random()) + self.spread * self.random.random()
+        jittered = self.backoff * (1 - JITTER + 2 * JITTER * self.random.random())
+        silent = self.connection is not None and self.connection.silent
+        return jittered + (self.rush if silent else self.spread) * self.random.random()
 
     async def _watch(self) -> bool:
         """Follows one watch to its end; tells whether it was of any use."""
         loop = asyncio.get_running_loop()
         watch = self.connection = Watch(self)
         try:
-            async with asyncio.timeout(CONNECT):
+            async with asyncio.timeout(self.connect_time):
                 await loop.create_connection(lambda: watch, *self.address)
         except (OSError, TimeoutError):
             watch.close()
@@ -189,17 +208,20 @@
             left = watch.heard_at + limit - loop.time()
             if left <= 0:
                 log.warning("discovery: nothing heard for %.1f s, watching anew", limit)
+                watch.silent = watch.answered
                 watch.close()
             await asyncio.wait([watch.lost], timeout=max(left, 0.1))
-        return watch.lines > 0 and not watch.broken
+        return watch.heard and not watch.broken
 
 
 class Watch(asyncio.Protocol):
-    """One watch: a chunked answer that holds one JSON object a line."""
+    """One watch: a chunked answer of JSON objects, and of empty lines while nothing changes."""
 
     def __init__(self, owner: Discovery) -> None:
-        self.owner, self.rest, self.lines, self.answered = owner, b"", 0, False
-        self.broken = False
+        self.owner, self.rest = owner, b""
+        self.answered = self.heard = self.broken = False
+        self.silent = False  # it was followed, and then said nothing for too long
+        self.begun = False  # whether `rest` holds lines of a message that has not come whole
         self.transport: asyncio.Transport | None = None
         loop = asyncio.get_running_loop()
         self.lost: asyncio.Future[None] = loop.create_future()
@@ -233,27 +255,49 @@
         if self.owner.connection is not self:  # what an agent left behind still had to say
             self.close()
             return
-        *lines, self.rest = (self.rest + body).split(b"\n")
-        if len(self.rest) > MAX_LINE:
-            raise ValueError("a line without end")
-        for line in lines:
-            self.heard_at = self.clock()
-            if line.strip():
-                self._line(line)
-            self.lines += 1
+        self.heard_at, self.heard = self.clock(), True
+        self.rest += body
+        if len(self.rest) > MAX_MESSAGE:
+            raise ValueError("a message without end")
+        # An indented message is not looked at line by line, but where its end or an empty line may have come.
+        if b"\n" in body and (b"}" in body or not self.begun or not body.strip()):
+            self._read()
         if self.broken:
             self.close()
 
-    def _line(self, line: bytes) -> None:
-        """One bad line must not lose the others; what it told is asked for anew, with the whole list."""
+    def _read(self) -> None:
+        """Takes out the messages that have come whole: an object on one line, or indented over several."""
+        whole, end, unfinished = self.rest.rpartition(b"\n")
+        text = (whole + end).decode(errors="replace").lstrip()
+        while text:
+            try:
+                message, size = DECODER.raw_decode(text)
+            except (json.JSONDecodeError, RecursionError) as error:
+                # A message that ends too early for JSON is still coming, unless an empty line is in it.
+                early = isinstance(error, json.JSONDecodeError) and error.pos >= len(text.rstrip())
+                if early and not EMPTY_LINE.search(text):
+                    break
+                size = text.index("\n")
+                self._spoilt(text[:size], error)
+            else:
+                self._apply(message)
+            text = text[size:].lstrip()
+        self.begun, self.rest = bool(text), text.encode() + unfinished
+
+    def _apply(self, message: Any) -> None:  # noqa: ANN401
         try:
-            self.owner.apply(json.loads(line))
-        except (ValueError, TypeError, AttributeError, RecursionError) as error:
-            log.warning("discovery: cannot use line %.200r: %r", line, error)
-            self.broken = True
+            self.owner.apply(message)
+        except (ValueError, TypeError, AttributeError) as error:
+            self._spoilt(json.dumps(message), error)
         if self.broken:
             self.owner.index = None
 
+    def _spoilt(self, text: str, error: Exception) -> None:
+        """One bad message must not lose the others; what it told is asked for anew, with the whole list."""
+        log.warning("discovery: cannot use message %.200r: %r", text, error)
+        self.broken = True
+        self.owner.index = None
+
     def on_message_complete(self) -> None:
         self.close()
 
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -29,12 +29,12 @@
 READY = 0.25  # s that the answer to the first watch may take; without it the known list must do
 SETTLE = 0.01  # s after that answer for the line that holds what has changed; where nothing has, none comes
 ANSWER_ROOM = 0.05  # s before the client's time is up, kept for writing an answer
+TOLD = 6.0  # s after which what a watch has missed counts as told
 ACCEPT = 0.45  # s after SIGTERM in which new connections go on coming (0.2 to 0.4 s)
 CROSSED = 0.25  # s more, for clients whose request crossed the closing of their idle connection
-DEADLINE, BEFORE = (
-    3.0,
-    0.2,
-)  # s: the kill leaves the longest deadline, this at most, to answer; some less is used
+DEADLINE = 3.0  # s that a kill leaves for the longest deadline, at most
+KILLED = 0.7  # s after that deadline, from SIGTERM on, before which no kill comes
+BEFORE = 0.35  # s of that time that are left unused, as the process may be late itself
 FLUSH = 0.1  # s for the last answers to leave
 RESERVE = 64  # descriptors for all but clients and hosts: listener, watch, counter, logs, the loop's own
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
@@ -83,9 +83,15 @@
         self.upstreams = Upstreams(
             self.clock, config.connect_timeout, config.conn_idle, share, config.settings.report_fields
         )
-        callers = config.settings.gateways if config.settings.ask_for_list else 0
+        grace = config.settings.drain_grace
         self.discovery = Discovery(
-            config.discovery, config.zones, config.kinds, self.clock, self._listed, callers=callers
+            config.discovery,
+            config.zones,
+            config.kinds,
+            self._listed,
+            callers=config.settings.gateways if config.settings.ask_for_list else 0,
+            grace=grace,
+            told_within=TOLD + grace / 2,
         )
         self.counter = self._make_counter(config.counter)
         self.actions: dict[type, Callable[[Any], None]] = {
@@ -282,12 +288,12 @@
         self.upstreams.send(attempt)
 
     def _may_go(self, chosen: Endpoint) -> bool:
-        """Whether a host is still the one that was chosen, and not leaving for longer than is allowed."""
+        """Whether a host is still the one that was chosen, and takes new work.
+
+        The time that a drain leaves belongs to those who hear of it late, as this gateway may have.
+        """
         endpoint = self.discovery.endpoints.get(chosen.server.id)
-        if endpoint is None or endpoint.place != chosen.place:
-            return False
-        since = endpoint.leaving_since
-        return since is None or self.clock.now() - since < self.settings.drain_grace / 2
+        return endpoint is not None and endpoint.place == chosen.place and not endpoint.leaving
 
     @staticmethod
     def _payload(held: Held, left: float) -> bytes:
@@ -381,7 +387,7 @@
             return
         log.info("stopping")
         self.ready = False
-        last = min(DEADLINE, max(c.give_up for c in self.settings.classes)) - BEFORE
+        last = min(DEADLINE, max(c.give_up for c in self.settings.classes)) + KILLED - BEFORE
         self.ends_at = self.clock.now() + last
         self.server.drain()
         self.loop.call_later(min(ACCEPT, last), self._linger)
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -31,6 +31,8 @@
 SHORT_IDLE = 2.0  # the same when connections are getting short: more than half of the bound is taken
 SETTLING = 0.25  # s that a new connection has to say something, where another waits for its place
 STUCK = 10.0  # s that a client may leave an answer unread
+BACKLOG = 1024  # connections that the kernel accepts for us ahead
+ACCEPTS = 64  # of them taken at once, before others have their turn
 PAUSE = 0.05  # s without accepting after an accept has failed
 SWEEP = 0.25
 
@@ -46,6 +48,7 @@
     504: "Gateway Timeout",
 }
 STATUS_LINES = {status: f"HTTP/1.1 {status} {reason}\r\n".encode() for status, reason in REASONS.items()}
+LAST = b"Connection: close\r\n\r\n"  # ends the head of a connection's last answer
 # Headers of a request that concern one connection only or are written anew.
 NOT_PASSED_ON = {
     b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"content-length",
@@ -65,14 +68,17 @@
 class Exchange:
     """One request of a connection and its answer."""
 
-    __slots__ = ("answer", "body", "close", "connection", "fields", "headers", "held", "method", "target")
+    __slots__ = (
+        "answer", "body", "close", "connection", "content", "fields", "headers", "held", "method", "target",
+    )  # fmt: skip
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
         self.method = self.target = self.body = b""
         self.headers: list[tuple[bytes, bytes]] = []  # as they came
         self.fields: dict[bytes, bytes] = {}
-        self.answer: bytes | None = None
+        self.answer: bytes | None = None  # its head, but for what is known only when it is written
+        self.content = b""
         self.close = False
         self.held: Any = None  # the node's record of it
 
@@ -93,11 +99,7 @@
             parts.append(b"Content-Type: text/plain\r\n")
         if retry_after > 0:
             parts.append(b"Retry-After: %.3f\r\n" % retry_after)
-        self.close = self.close or self.connection.server.closing
-        if self.close:
-            parts.append(b"Connection: close\r\n")
-        parts += (b"\r\n", body if self.method != b"HEAD" else b"")
-        self.answer = b"".join(parts)
+        self.answer, self.content = b"".join(parts), body if self.method != b"HEAD" else b""
         self.connection.flush()
 
     def refuse(self, status: int, body: bytes = b"") -> None:
@@ -327,9 +329,10 @@
             return
         while self.exchanges and (answer := self.exchanges[0].answer) is not None:
             exchange = self.exchanges.popleft()
-            self.transport.write(answer)
+            last = exchange.close or self._drained()
+            self.transport.write(answer + (LAST if last else b"\r\n") + exchange.content)
             self.active_at = time.monotonic()
-            if exchange.close:
+            if last:
                 self.leave()
                 return
         self.rest()
@@ -337,12 +340,18 @@
             self.paused = False
             self.transport.resume_reading()
 
+    def _drained(self) -> bool:
+        """Whether the server is closing, and nothing more has come that would be owed an answer here."""
+        return self.server.closing and not (self.exchanges or self.reading or self.unread())
+
     def leave(self) -> None:
         """Closes once what is written has gone out; requests behind a closing one are not answered."""
         assert self.transport is not None
         self.ended = True
         self.server.waiting.pop(self, None)
-        if self.failed or self.reading or self.exchanges or self.unread():
+        coming = self.failed or self.reading or self.exchanges or self.unread()
+        self._let_go()
+        if coming:
             # Closing on bytes that are still coming in would reset the connection and take the answer along.
             self.transport.write_eof()
             if not self.paused:
@@ -365,6 +374,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.lost(self)
+        self._let_go()
+
+    def _let_go(self) -> None:
+        """What is still open here gets no answer any more: nobody waits for it."""
         for exchange in self.exchanges:
             if exchange.answer is None:
                 exchange.answer = b""
@@ -415,7 +428,7 @@
         self.socket.bind(address)
 
     def start(self) -> None:
-        self.socket.listen(1024)
+        self.socket.listen(BACKLOG)
         self._resume()
         self.sweep = self.loop.call_later(SWEEP, self._sweep)
 
@@ -436,7 +449,7 @@
             self.loop.remove_reader(self.socket.fileno())
 
     def _accept(self) -> None:
-        for _ in range(64):
+        for _ in range(ACCEPTS):
             if len(self.connections) >= self.most + self.surplus:
                 if not readable(self.socket.fileno()):
                     return
@@ -542,18 +555,22 @@
     # The end
 
     def drain(self) -> None:
-        """From now on each answer is the last of its connection."""
+        """From now on an answer is its connection's last, if no other request has come there."""
         self.closing = True
 
     def stop_accepting(self) -> None:
         """Takes what the kernel has accepted already, then closes the listener."""
-        self._accept()
+        for _ in range(BACKLOG // ACCEPTS):
+            self._accept()
         self._pause()
         self.socket.close()
 
     def close_idle(self) -> None:
+        """Closes what stands idle; the first request of a new connection may be right behind it."""
+        now = time.monotonic()
         for connection in list(self.connections):
-            connection.close_idle()
+            if connection.asked or now - connection.opened_at >= SETTLING:
+                connection.close_idle()
 
     def close(self) -> None:
         self._pause()
