Read a client no further while it leaves its answers unread, and drop it in time

Seen in the review: a client that sends much and reads nothing was read on, and each answer added to its connection's write buffer. It was dropped after 10 s of quiet (STUCK), which it never was, as each byte it sent counted as a sign of life (Server._sweep, active_at). Excluded: many requests waiting for answers (16 a connection, then it is not read).

Design: one rule (_regulate) says when a connection is read: not while answers pile up past the transport's high-water mark, requests past their number, or what follows earns no answer. The 10 s count from when the client began to leave too much unread, and for an ended connection from its last answer, as a few bytes left in its buffer kept that open for good. A client that reads late still gets all its answers (second test, 300,000 of them).

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -207,7 +207,8 @@
         self.size = self.head_size = 0
         self.in_body = False
         self.failed = 0  # the status that ends this connection
-        self.paused = self.stuck = self.ended = False
+        self.paused = self.ended = False
+        self.stuck_at: float | None = None  # since when the client has left too much unread
         self.surplus = False  # beyond the bound: it is told so, then closed
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
@@ -237,16 +238,23 @@
             self.server.request(exchange)
         if self.failed:
             self._answer_failed()
-        elif len(self.exchanges) >= PIPELINED and self.transport and not self.paused:
+        self._regulate()
+        self.rest()
+
+    def _regulate(self) -> None:
+        """Reads on only while there is room: for requests, for answers, and for what is worth an answer."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        full = len(self.exchanges) >= PIPELINED or self.stuck_at is not None
+        if (full or self.failed or self.ended) and not self.paused:
             self.paused = True
             self.transport.pause_reading()
-        self.rest()
+        elif self.paused and not (full or self.failed or self.ended):
+            self.paused = False
+            self.transport.resume_reading()
 
     def _answer_failed(self) -> None:
         """The last answer, behind those still owed. Nothing more is read: 60 MB may be on their way."""
-        if self.transport and not self.paused:
-            self.paused = True
-            self.transport.pause_reading()
         exchange = Exchange(self)
         exchange.close = True
         self.exchanges.append(exchange)
@@ -262,6 +270,7 @@
         self.failed = 408
         self.reading = None
         self._answer_failed()
+        self._regulate()
 
     def on_message_begin(self) -> None:
         self.reading = Exchange(self)
@@ -335,10 +344,8 @@
             if last:
                 self.leave()
                 return
+        self._regulate()
         self.rest()
-        if self.paused and len(self.exchanges) < PIPELINED:
-            self.paused = False
-            self.transport.resume_reading()
 
     def _drained(self) -> bool:
         """Whether the server is closing, and nothing more has come that would be owed an answer here."""
@@ -353,10 +360,8 @@
         self._let_go()
         if coming:
             # Closing on bytes that are still coming in would reset the connection and take the answer along.
+            self._regulate()
             self.transport.write_eof()
-            if not self.paused:
-                self.paused = True
-                self.transport.pause_reading()
             self.server.linger(self)
         else:
             self.transport.close()
@@ -367,10 +372,12 @@
         return readable(self.transport.get_extra_info("socket").fileno())
 
     def pause_writing(self) -> None:
-        self.stuck = True
+        self.stuck_at = time.monotonic()
+        self._regulate()
 
     def resume_writing(self) -> None:
-        self.stuck = False
+        self.stuck_at = None
+        self._regulate()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.lost(self)
@@ -541,7 +548,8 @@
             quiet = now - connection.active_at
             if not connection.transport:
                 continue
-            if connection.stuck and quiet > STUCK:
+            stuck_at = connection.active_at if connection.ended else connection.stuck_at
+            if stuck_at is not None and now - stuck_at > STUCK:
                 connection.transport.abort()
             elif connection.ended:
                 continue
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,7 +6,7 @@
 import socket
 
 import pytest
-from net_helpers import Client, World, entry, request, run, until, world
+from net_helpers import Client, World, entry, request, run, soon, until, world
 
 from coralvale import interface as api
 
@@ -347,3 +347,41 @@
             assert await up(client) == 200
 
     run(test())
+
+
+def test_a_client_that_never_reads_is_read_no_further_and_dropped_in_the_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Though it goes on sending: its unread answers would fill the memory."""
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            client.send(500_000 * b"GET /up HTTP/1.1\r\n\r\n")
+            await until(lambda: w.node.server.connections)
+            (connection,) = w.node.server.connections
+            assert connection.transport
+            unread = connection.transport.get_write_buffer_size
+            await until(lambda: connection.paused or unread() > 4_000_000)
+            assert unread() < 2_000_000
+            await until(lambda: not w.node.server.connections)
+
+    monkeypatch.setattr("coralvale.net.server.STUCK", 0.3)
+    run(test())
+
+
+def test_one_that_reads_late_gets_all_of_its_answers() -> None:
+    async def test() -> None:
+        async with world() as w:
+            client, count = await w.client(), 300_000
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            client.send(count * b"GET /up HTTP/1.1\r\n\r\n")
+            await until(lambda: any(c.stuck_at is not None for c in w.node.server.connections))
+            client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            seen, end = 0, b""
+            while seen < count:
+                end = end[-8:] + await soon(client.reader.read(1 << 20))
+                seen += end.count(b"HTTP/1.1 ")  # nine bytes, of which eight are kept
+
+    run(test())
