Notice a client that left while its connection is not read

Seen in the review: a client with 16 requests open on a connection is not read any further, and its leaving, which stands behind unread bytes, was never told: with all of them waiting for a connection to a host, each was written to the host after the client had gone, and those waiting for the module were held to their deadlines. Excluded: a client whose connection is read (its end is told at once and stops the send: the test that looks between connect and write).

Others are not asked, so a usual request pays nothing for it.

--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -273,6 +273,8 @@
         until = min(action.until or held.expires_at, held.expires_at)
 
         def payload() -> bytes | None:
+            if held.exchange.connection.gone():
+                self.client_left(held.exchange)
             if held.answered or not self._may_go(endpoint):
                 return None
             left = until - self.clock.now()
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -175,10 +175,10 @@
     return int(text)
 
 
-def readable(descriptor: int) -> bool:
+def readable(descriptor: int, event: int = select.POLLIN) -> bool:
     """Whether the kernel has something for us that the loop has not been told of yet."""
     poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
+    poll.register(descriptor, event)
     return bool(poll.poll(0))
 
 
@@ -371,6 +371,13 @@
         assert self.transport is not None
         return readable(self.transport.get_extra_info("socket").fileno())
 
+    def gone(self) -> bool:
+        """Whether the client has left behind bytes that are not read: the loop does not tell of that."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        return self.paused and readable(descriptor, select.POLLRDHUP)
+
     def pause_writing(self) -> None:
         self.stuck_at = time.monotonic()
         self._regulate()
@@ -553,6 +560,8 @@
                 connection.transport.abort()
             elif connection.ended:
                 continue
+            elif connection.gone():
+                connection.transport.abort()
             elif connection.idle():
                 most = IDLE if connection.asked and room else SHORT_IDLE if connection.asked else PARTIAL
                 if quiet > most:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,7 +16,7 @@
 from coralvale import interface as api
 from coralvale.interface import Outcome
 from coralvale.net.node import Held
-from coralvale.net.server import Exchange
+from coralvale.net.server import PIPELINED, Exchange
 from coralvale.net.upstream import Attempt
 
 
@@ -188,6 +188,39 @@
     run(test())
 
 
+@pytest.mark.parametrize("waits", ["for a connection", "for the module"])
+def test_a_client_that_left_behind_unread_bytes_is_noticed(waits: str) -> None:
+    """So many requests of its connection are open that it is not read, and its end stands behind the rest."""
+
+    async def test() -> None:
+        host = await Peer(answer()).start()
+        async with world(entry("s-1", host.port)) as w:
+            connect = w.node.upstreams._connect
+            go = asyncio.Event()
+
+            async def slow(*args: Any) -> None:
+                await go.wait()
+                await connect(*args)
+
+            w.node.upstreams._connect = slow  # type: ignore[method-assign]
+            if waits == "for a connection":
+                w.script.on(api.Request, lambda e: [api.Send(e.id, "s-1", 0.0)])
+            with socket.create_connection(("127.0.0.1", w.node.server.port)) as client:
+                await until(lambda: w.node.server.connections)
+                client.sendall(b"".join(request(f"r{i}") for i in range(PIPELINED)))
+                await until(lambda: any(c.paused for c in w.node.server.connections))
+                client.sendall(request("unread"))
+            if waits == "for a connection":
+                go.set()
+                await w.done(PIPELINED)
+                assert {e.outcome for e in w.script.of(api.AttemptDone)} == {Outcome.NOT_SENT}
+                assert host.arrived.empty()
+            await until(lambda: len(w.script.of(api.Abandoned)) == PIPELINED and not w.node.held)
+        host.stop()
+
+    run(test())
+
+
 def test_a_failing_module_loses_no_request_and_keeps_its_timer(caplog: pytest.LogCaptureFixture) -> None:
     class Broken(RuntimeError):
         pass
