Take nothing behind a spoilt answer of the counter for a total

Seen in the review: an answer without a number closes its connection (Line.on_message_complete), but what had come in the same read was parsed on, and paired with the calls behind. The new test sends a spoilt answer and a total in one write to two calls; without the mend the second call is told that total each time. Excluded: answers in later reads (the connection is gone by then).

Design: a closed line takes no further message; its calls end as maybe added, each once.

--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -159,7 +159,7 @@
             raise ValueError("a total without end")
 
     def on_message_begin(self) -> None:
-        if not self.calls:  # more than belongs to the last call
+        if self.closed or not self.calls:  # behind a spoilt answer, or more than belongs to the last call
             raise ValueError("an answer that nobody asked for")
 
     def on_message_complete(self) -> None:
--- a/tests/test_counter_calls.py
+++ b/tests/test_counter_calls.py
@@ -182,6 +182,22 @@
     run(test())
 
 
+def test_nothing_behind_a_spoilt_answer_is_taken_for_a_total() -> None:
+    """In the same breath, too: the calls behind may have been added, and their answers are not known."""
+
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            calls.add(8, 2.0, 4.0)
+            await peer.next()
+            (await peer.next()).reply(answer(body=b"<html>") + total("77"))
+            for _ in range(2):
+                assert await soon(replies.get()) == CounterReply(8, False, 0.0, maybe_added=True)
+            await until(lambda: peer.closed == 1)
+
+    run(test())
+
+
 def test_what_was_not_asked_for_ends_the_connection_and_is_nobodys_total() -> None:
     async def test() -> None:
         async with counter() as (calls, peer, replies):
