Say when to come back only where the settings allow it, in the node's refusals too

Seen in the review of settings unlike the first customer's: the module heeds ceilings.retry_after, but the refusals that the node and the server word themselves (beyond the most held, beyond the bound on connections, nobody decided) said Retry-After all the same. The new test asks for all three with it allowed and not; without the mend the second form fails each time. Excluded: the module's own refusals.

Design: the settings tell the longest advice, nought where there may be none; all take it there.

--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -149,6 +149,11 @@
             if p.ceiling_rate > 0 and p.ceiling_burst <= 0:
                 raise SettingsError(f"plans[{i}].ceiling_burst: a ceiling needs a burst above 0")
 
+    @property
+    def longest_advice(self) -> float:
+        """The longest `Retry-After` in seconds, nought where none may be said."""
+        return self.max_advice if self.advice else 0.0
+
     def check(self, request: Request) -> None:
         """Refuses a request of a class or plan that these settings do not know, by an error that names it."""
         for kind, value, known in (("class", request.cls, self.classes), ("plan", request.plan, self.plans)):
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -305,7 +305,7 @@
         self.refused.note(reason)
         if reason.startswith("quota"):  # another of the customer's gateways may have room, and in time
             wait = min(wait, self.settings.classes[request.cls].aim * SOON)
-        advice = min(wait, self.settings.max_advice * self.settings.advice)
+        advice = min(wait, self.settings.longest_advice)
         self.actions.append(api.Refuse(request.id, advice))
 
     def _send(self, now: float, held: Held, host: Host) -> None:
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -191,7 +191,7 @@
         if held.maybe and self.settings.classes[held.arrival.cls].repeat is not api.Repeat.SAFE:
             self._finish(held, 504 if held.timed_out else 502)
         else:
-            self._finish(held, 503, retry_after=self.settings.max_advice)
+            self._finish(held, 503, retry_after=self.settings.longest_advice)
         self.feed(api.Abandoned(held.arrival.id))
 
     def _finish(self, held: Held, status: int, **answer: Any) -> None:  # noqa: ANN401
@@ -217,7 +217,7 @@
             exchange.refuse(400, b"x-request-id: in use\n")
             return
         if len(self.held) >= self.config.most_held:
-            exchange.reply(503, retry_after=self.settings.max_advice)
+            exchange.reply(503, retry_after=self.settings.longest_advice)
             return
         now = self.clock.now()
         patience = min(arrival.time_out, self.settings.classes[arrival.cls].give_up)
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -427,7 +427,7 @@
     ) -> None:
         # Past `most` connections are told 503 and closed; past `surplus` more they wait in the kernel.
         self.handler, self.most, self.surplus = handler, most, surplus
-        self.names, self.max_advice = Names(settings), settings.max_advice
+        self.names, self.max_advice = Names(settings), settings.longest_advice
         self.loop = asyncio.get_running_loop()
         self.connections: set[ClientConnection] = set()
         # Those on which no request is open, by how long: looked at from the front only, never sorted.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -532,6 +532,31 @@
     run(test())
 
 
+@pytest.mark.parametrize("allowed", [True, False])
+def test_refusals_that_the_module_does_not_word_say_when_to_come_back_only_where_allowed(
+    allowed: bool,
+) -> None:
+    """One beyond the most held, one on a connection beyond the bound, one that nobody decided on."""
+
+    async def test() -> None:
+        ceilings = {"most_held": 1, "retry_after": allowed}
+        async with world(ceilings=ceilings, classes=short(0.3), sockets=64) as w:
+            first, second = await w.client(), await w.client()
+            first.send(request("r1"))
+            await until(lambda: w.node.held)
+            refusals = [await second.ask(request("r2")), await first.receive()]
+            w.node.server.most = 0
+            w.script.on(api.Request, lambda e: [])
+            third = await w.client()
+            for client in (first, second):
+                client.send(request("r3")[:20])  # not idle, so that none of them makes room
+            refusals.append(await third.ask(request("r4")))
+            for refusal in refusals:
+                assert refusal.status == 503 and (b"retry-after" in refusal.headers) == allowed
+
+    run(test())
+
+
 def test_a_request_with_a_wrong_plan_or_set_does_not_settle_its_customer() -> None:
     """The first request of a customer names a mean plan and a wide set; those that follow get their own."""
 
