Take the true units from an answer where they are settled afterwards

The module corrects its guess by the true units (Gateway._answer), but the node never told them, and passed the header on to the client. So the buckets of such a customer were filled by guesses for good.

--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -42,6 +42,7 @@
 NOT_PASSED_ON = {
     b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"content-length",
     b"proxy-authenticate", b"proxy-connection", b"usage-percent", b"x-server-load", b"x-not-processed",
+    b"billed-units",
 }  # fmt: skip
 
 
@@ -58,6 +59,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     usage: float | None = None
+    units: float | None = None  # that the request truly took, where they are settled afterwards
     report: tuple[float, ...] = ()
 
 
@@ -213,6 +215,8 @@
             lower = name.lower()
             if lower == b"usage-percent":
                 answer.usage = read_usage(value)
+            elif lower == b"billed-units":
+                answer.units = read_units(value)
             elif lower == b"x-not-processed":
                 not_processed = value.strip() == b"1"
             elif lower == b"x-server-load":
@@ -480,6 +484,12 @@
     return usage if usage <= MOST_USE else None
 
 
+def read_units(value: bytes) -> float | None:
+    """`Billed-Units`, the true units of a request that was served; nought and less are none."""
+    units = float(value) if NUMBER.fullmatch(value) else 0.0
+    return units if units > 0 else None
+
+
 def read_load(value: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
     """The fields' figures; what is no plausible figure must not mislead the decisions."""
     try:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -579,6 +579,29 @@
     run(test())
 
 
+def test_units_settled_afterwards_come_off_the_bucket_as_the_answer_tells_them() -> None:
+    """The real module: a guess of one that was truly four leaves that much less for the next."""
+
+    async def test() -> None:
+        host = await Peer().start()
+        plan = {"name": "team", "per_second": 0.001, "most_at_once": 6.0, "excess_cost": 1.0}
+        family = {"may_count": False, "most_units": 4, "post_paid": True, "use_period_s": 0.0}
+        async with world(
+            entry("s-1", host.port), real=True, packages=[plan], family_info=family, n_instances=1
+        ) as w:
+            client = await w.client()
+            sets = {"Quota_Info": "units=1,spread=1,first=0"}
+            for id, told in (("r1", "4"), ("r2", "none"), ("r3", "9")):
+                client.send(request(id, **sets))
+                (await host.next()).reply(answer(body=b"done", Billed_Units=told))
+                message = await client.receive()
+                assert message.body == b"done" and b"billed-units" not in message.headers
+            assert (await client.ask(request("r4", **sets))).status == 503
+        host.stop()
+
+    run(test())
+
+
 def test_a_customer_that_asks_for_little_has_the_whole_burst_at_any_gateway() -> None:
     """Requests that belong together come to one gateway by chance; one that asks on and on has its part."""
 
