Leave out a listed host whose address is no IP address

Seen in the review: any text before the colon passed for an address (read_address). There is no DNS, so such a host could never be reached; and one of 300 letters raises UnicodeError inside the connect (Upstreams._connect catches what the network raises), which ended its task: the attempt had no outcome until its request's time was up, and the connection counted as open for good. The new test lists such entries beside a good one; two of its forms fail without the mend. Excluded: entries with no port or no text (they were left out already).

Design: read_address asks for an IP address, so that an entry is left out and logged, and a configuration that names one is refused by a ConfigError.

--- a/coralvale/net/config.py
+++ b/coralvale/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 from dataclasses import dataclass
 from pathlib import Path
@@ -39,7 +40,12 @@
     host, colon, port = text.rpartition(":")
     if not (host and colon and port.isdecimal() and int(port) < 65536):
         raise ValueError(f"{text!r} is no address:port")
-    return host.strip("[]"), int(port)
+    host = host.strip("[]")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(f"{text!r}: {host!r} is no IP address, and there is no DNS") from None
+    return host, int(port)
 
 
 def flatten(settings: dict[str, Any]) -> Fields:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -177,6 +177,20 @@
     run(test())
 
 
+@pytest.mark.parametrize("address", ["x" * 300 + ":80", "h.internal:80", "127.0.0.1", "127.0.0.1:", 80])
+def test_an_entry_whose_address_cannot_be_used_is_left_out(address: Any) -> None:
+    """Noticed only when a request has chosen the host, it would leave that attempt without an outcome."""
+
+    async def test() -> None:
+        async with bench() as b:
+            await b.told()
+            watch = await b.registry.watch()
+            watch.reply(chunk(line(42, {**entry("s-3", 3), "address": address}, entry("s-4", 4))))
+            assert [s.id for s in (await b.told())[1]] == ["s-4"]
+
+    run(test())
+
+
 def test_a_refresh_asks_for_the_whole_list() -> None:
     async def test() -> None:
         async with bench() as b:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -102,6 +102,7 @@
     [
         ({"listen": "nowhere"}, "nowhere"),
         ({"listen": None}, "config.json"),
+        ({"discovery": "agent.internal:80"}, "agent.internal"),
         ({"seed": "xyz"}, "xyz"),
         ({"settings": {}}, "classes.count"),
         ({"settings": settings(ceilings={"send_cap": "many"})}, "send_cap"),
