Give back the units of a request that was never sent

The new test has one leave while its connection comes up, in a bucket and in a ceiling that hold one request; the next request is refused each time without the mend. Excluded: one that leaves while it waits for the counter (its units are taken back with the next call, Shared.leave).

Design: when a request ends and all of its attempts were NOT_SENT, its units go back: from the bucket, the ceiling's even part, and with the next call from the shared bucket.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -169,7 +169,7 @@
             return self._turn_away(request, restrictor, counted, "no server", STEP)
         restrictor.charge(request.units, counted, pooled)
         self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
-        self.requests[request.id] = Held(request, now, restrictor)
+        self.requests[request.id] = Held(request, now, restrictor, pooled=pooled)
         return self._send(now, self.requests[request.id], host)
 
     def _turn_away(
@@ -327,6 +327,8 @@
         held.live = False
         if all(a.done for a in held.attempts):
             self.requests.pop(name, None)
+            if not held.sent:  # the client left first, or its time was up: it has taken nothing
+                held.restrictor.refund(held.request.units, held.pooled)
 
     def _leave(self, now: float, event: api.Abandoned | api.StreamStarted) -> None:
         self.shared.leave(event.request)
@@ -343,6 +345,7 @@
         if not attempt.host.out:
             self.busy.pop(attempt.host, None)
         restrictor.open -= 1
+        held.sent = held.sent or event.outcome is not Outcome.NOT_SENT
         if event.usage is not None and 0 <= event.usage < math.inf:
             restrictor.hear(now, event.usage)
         if self.settings.settles_after and 0 <= (event.units or -1) < math.inf:  # corrects the guess
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -122,6 +122,13 @@
         if not pooled:
             self.ceiling -= units * self.entries
 
+    def refund(self, units: float, pooled: bool = False) -> None:
+        """Gives back the units of a request that was never sent; what the pool holds stays there."""
+        self.fill, self.passed = max(0.0, self.fill - units), max(0.0, self.passed - units)
+        self.uncounted -= units  # if the shared bucket holds them, the next call takes them back
+        if not pooled:
+            self.ceiling = min(self.ceiling_burst, self.ceiling + units * self.entries)
+
     def step(self, now: float) -> None:
         """Sets the leak rate: own use times the quota over metered use of the same, late, time."""
         self.drain(now)
--- a/coralvale/state.py
+++ b/coralvale/state.py
@@ -43,6 +43,8 @@
     attempts: list[Attempt] = field(default_factory=list)
     maybe: Attempt | None = None  # the first attempt that may have run
     live: bool = True
+    pooled: bool = False  # the pool of the ceiling holds them
+    sent: bool = False  # an attempt was sent, as far as is known
 
 
 class Refusals:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import gc
+import math
 import os
 import socket
 from types import SimpleNamespace
@@ -602,6 +603,44 @@
     run(test())
 
 
+@pytest.mark.parametrize("ceiling", [False, True])
+def test_one_that_left_before_it_was_sent_has_taken_no_units(ceiling: bool) -> None:
+    """The real module: the next request finds the bucket, and the ceiling, as they were before."""
+
+    async def test() -> None:
+        host = await Peer(answer(body=b"done")).start()
+        plan = {"name": "team", "per_second": 0.001, "most_at_once": 1.0, "excess_cost": 1.0}
+        if ceiling:
+            plan |= {"per_second": 9.0, "most_at_once": 9.0, "never_over_rate": 0.001, "hard_burst": 1.5}
+        family = {"may_count": False, "use_period_s": 0.0}
+        async with world(
+            entry("s-1", host.port), real=True, packages=[plan], family_info=family, n_instances=1
+        ) as w:
+            connect, go, started = w.node.upstreams._connect, asyncio.Event(), asyncio.Event()
+
+            async def slow(*args: Any) -> None:
+                started.set()
+                await go.wait()
+                await connect(*args)
+
+            w.node.upstreams._connect = slow  # type: ignore[method-assign]
+            w.node.gateway.born = -math.inf  # the ceiling is full
+            sets = {"Quota_Info": "units=1,spread=1,first=0"}
+            first, second = await w.client(), await w.client()
+            first.send(request("r1", **sets))
+            await soon(started.wait())
+            first.close()
+            await until(lambda: w.node.held["r1"].answered)
+            go.set()
+            await until(lambda: not w.node.held)
+            assert host.arrived.empty()
+            assert (await second.ask(request("r2", **sets))).body == b"done"
+            assert (await second.ask(request("r3", **sets))).status == 503
+        host.stop()
+
+    run(test())
+
+
 def test_a_customer_that_asks_for_little_has_the_whole_burst_at_any_gateway() -> None:
     """Requests that belong together come to one gateway by chance; one that asks on and on has its part."""
 
