Ask for the whole list when changes come with an index that went backwards

Seen in the review: a registry that was set back tells changes to an older list. They were merged into the newer one, whose other entries nothing corrected (Watch, Discovery.apply), and the next watch went on from the older index. The new test sends such a change; without the mend no new watch comes. Named as sound, with a test that passes before and after: a watch that is reset in the middle of a message goes on from the last whole one.

Design: such a message counts as one that cannot be relied on: what it tells is used, and the whole list asked for. A whole list may have any index.

--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -285,8 +285,12 @@
         self.begun, self.rest = bool(text), text.encode() + unfinished
 
     def _apply(self, message: Any) -> None:  # noqa: ANN401
+        known = self.owner.index
         try:
             self.owner.apply(message)
+            index = self.owner.index
+            if known is not None and index is not None and index < known and not message.get("snapshot"):
+                raise ValueError("changes to an older list than the one held")
         except (ValueError, TypeError, AttributeError) as error:
             self._spoilt(json.dumps(message), error)
         if self.broken:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -313,6 +313,41 @@
     run(test())
 
 
+def test_changes_with_an_index_that_went_backwards_have_the_whole_list_asked_for() -> None:
+    """A registry that was set back: what it told of the list since then is not what is held here."""
+
+    async def test() -> None:
+        async with bench() as b:
+            await b.told()
+            watch = await b.registry.watch()
+            watch.reply(chunk(line(7, entry("s-3", 3))))
+            again = await b.registry.watch()
+            assert again.message.first == b"GET /discovery/hosts?stream=1 HTTP/1.1"
+            again.reply(chunk(line(8, entry("s-3", 3), snapshot=True)))
+            await until(lambda: set(b.discovery.endpoints) == {"s-3"})
+            assert b.discovery.index == 8 and b.registry.connections == 2
+
+    run(test())
+
+
+@pytest.mark.parametrize("piece", [30, None])
+def test_a_watch_that_ends_in_the_middle_of_a_message_goes_on_from_the_last_whole_one(
+    piece: int | None,
+) -> None:
+    async def test() -> None:
+        async with bench() as b:
+            await b.told()
+            watch = await b.registry.watch()
+            watch.reply(chunk(line(42, entry("s-3", 3))) + chunk(line(43, entry("s-4", 4)))[:piece])
+            last = 42 if piece else 43
+            await until(lambda: b.discovery.index == last)
+            watch.reset()
+            again = await b.registry.watch()
+            assert again.message.first.endswith(b"&index=%d HTTP/1.1" % last)
+
+    run(test())
+
+
 def test_a_bad_index_or_field_costs_only_itself() -> None:
     async def test() -> None:
         async with bench() as b:
