Send nothing on when the drain's time is up

With a kept connection at hand that was written at once, to be left unanswered by the process's end: work for nothing, on a keyed class too. The new test has such a connection; without the mend the second host gets the request each time. Excluded: a new connection (what comes of it finds its request answered).

Design: what expires has no time left from then on, so the send finds none and ends as not sent.

--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -250,6 +250,7 @@
 
     def _expire(self, held: Held) -> None:
         """The client's time is up: attempts end as timed out, and what is then unanswered is answered."""
+        held.expires_at = min(held.expires_at, self.clock.now())  # a drain may have less time: no more sends
         for attempt in list(held.attempts):
             if not attempt.ended:
                 self.upstreams.give_up(attempt, Outcome.TIMEOUT)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,7 +18,7 @@
 from coralvale.interface import Outcome
 from coralvale.net.node import Held
 from coralvale.net.server import PIPELINED, Exchange
-from coralvale.net.upstream import Attempt
+from coralvale.net.upstream import REST, Attempt
 
 
 def send_all(w: World, *servers: str, until_in: float = 60.0) -> None:
@@ -448,6 +448,32 @@
     run(test())
 
 
+def test_nothing_is_sent_on_when_the_drains_time_is_up() -> None:
+    """The module knows of the client's time only, and would try the other host."""
+
+    async def test() -> None:
+        hung, other = await Peer().start(), await Peer(answer(body=b"done")).start()
+        async with world(entry("s-1", hung.port), entry("s-2", other.port)) as w:
+            send_all(w, "s-2", "s-1", "s-2")
+            assert (await w.ask(request("r1"))).body == b"done"
+            (kept,) = w.node.upstreams.connections  # and rested: a send on it would leave at once
+            await until(lambda: w.node.clock.now() - kept.idle_since > REST)
+            client = await w.client()
+            client.send(request("r2"))
+            await hung.next()
+            steps = stop_by_hand(w)
+            next(step for _, step in steps if step == w.node._end)()
+            assert [e.outcome for e in w.script.of(api.AttemptDone)][1:] == [
+                Outcome.TIMEOUT,
+                Outcome.NOT_SENT,
+            ]
+            assert (await client.receive()).status in (502, 504)
+        hung.stop()
+        other.stop()
+
+    run(test())
+
+
 def test_all_that_the_kernel_accepted_is_taken_before_the_listener_is_closed() -> None:
     async def test() -> None:
         host = await Peer(answer(body=b"done")).start()
