--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -33,6 +33,7 @@
 MEMORY = 0.05  # weight of the newest of own events: twenty of them give a mean to a fifth
 PATIENT = 5.0  # usual delays that an attempt is given at least: by chance one in a hundred takes longer
 ROOM = 3.0  # usual delays before the aim that are kept for another attempt in place of a late one
+LATE = 0.02  # s kept for that at the least: a loaded gateway may notice the late one by so much later
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
@@ -318,7 +319,7 @@
     def _until(self, now: float, held: Held) -> float:
         """How long the newest attempt may take: a late one leaves time for another, if there may be one."""
         cls, usual = self.settings.classes[held.request.cls], self.usual[held.request.cls]
-        last = min(held.request.expires_at, held.arrived + cls.aim) - ROOM * usual
+        last = min(held.request.expires_at, held.arrived + cls.aim) - max(ROOM * usual, LATE)
         again = cls.repeat is Repeat.SAFE and not cls.late_worth
         again = again and len(held.attempts) < self.settings.max_attempts and last - now >= PATIENT * usual
         return last if again else held.request.expires_at
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -258,3 +258,15 @@
     only(bench.request()[1], api.Refuse)
     bench.done(first, api.Outcome.TIMEOUT)
     only(bench.request()[1], api.Send)
+
+
+def test_a_late_attempt_leaves_time_to_notice_it_however_short_the_usual_delay_is() -> None:
+    """Three usual delays of a millisecond would be over before a loaded gateway's timer fires."""
+    bench = Bench()
+    for _ in range(200):
+        name, _ = bench.request()
+        bench.done(name, delay=0.001)
+        bench.wait(0.3)
+    _, (send,) = bench.request()
+    assert isinstance(send, api.Send)
+    assert bench.now + 0.9 < send.until <= bench.now + READ.aim - 0.02
