--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import gc
+import math
 import os
 import socket
 from types import SimpleNamespace
@@ -17,7 +18,7 @@
 from coralvale.interface import Outcome
 from coralvale.net.node import Held
 from coralvale.net.server import PIPELINED, Exchange
-from coralvale.net.upstream import Attempt
+from coralvale.net.upstream import REST, Attempt
 
 
 def send_all(w: World, *servers: str, until_in: float = 60.0) -> None:
@@ -447,6 +448,32 @@
     run(test())
 
 
+def test_nothing_is_sent_on_when_the_drains_time_is_up() -> None:
+    """The module knows of the client's time only, and would try the other host."""
+
+    async def test() -> None:
+        hung, other = await Peer().start(), await Peer(answer(body=b"done")).start()
+        async with world(entry("s-1", hung.port), entry("s-2", other.port)) as w:
+            send_all(w, "s-2", "s-1", "s-2")
+            assert (await w.ask(request("r1"))).body == b"done"
+            (kept,) = w.node.upstreams.connections  # and rested: a send on it would leave at once
+            await until(lambda: w.node.clock.now() - kept.idle_since > REST)
+            client = await w.client()
+            client.send(request("r2"))
+            await hung.next()
+            steps = stop_by_hand(w)
+            next(step for _, step in steps if step == w.node._end)()
+            assert [e.outcome for e in w.script.of(api.AttemptDone)][1:] == [
+                Outcome.TIMEOUT,
+                Outcome.NOT_SENT,
+            ]
+            assert (await client.receive()).status in (502, 504)
+        hung.stop()
+        other.stop()
+
+    run(test())
+
+
 def test_all_that_the_kernel_accepted_is_taken_before_the_listener_is_closed() -> None:
     async def test() -> None:
         host = await Peer(answer(body=b"done")).start()
@@ -602,6 +629,44 @@
     run(test())
 
 
+@pytest.mark.parametrize("ceiling", [False, True])
+def test_one_that_left_before_it_was_sent_has_taken_no_units(ceiling: bool) -> None:
+    """The real module: the next request finds the bucket, and the ceiling, as they were before."""
+
+    async def test() -> None:
+        host = await Peer(answer(body=b"done")).start()
+        plan = {"name": "team", "per_second": 0.001, "most_at_once": 1.0, "excess_cost": 1.0}
+        if ceiling:
+            plan |= {"per_second": 9.0, "most_at_once": 9.0, "never_over_rate": 0.001, "hard_burst": 1.5}
+        family = {"may_count": False, "use_period_s": 0.0}
+        async with world(
+            entry("s-1", host.port), real=True, packages=[plan], family_info=family, n_instances=1
+        ) as w:
+            connect, go, started = w.node.upstreams._connect, asyncio.Event(), asyncio.Event()
+
+            async def slow(*args: Any) -> None:
+                started.set()
+                await go.wait()
+                await connect(*args)
+
+            w.node.upstreams._connect = slow  # type: ignore[method-assign]
+            w.node.gateway.born = -math.inf  # the ceiling is full
+            sets = {"Quota_Info": "units=1,spread=1,first=0"}
+            first, second = await w.client(), await w.client()
+            first.send(request("r1", **sets))
+            await soon(started.wait())
+            first.close()
+            await until(lambda: w.node.held["r1"].answered)
+            go.set()
+            await until(lambda: not w.node.held)
+            assert host.arrived.empty()
+            assert (await second.ask(request("r2", **sets))).body == b"done"
+            assert (await second.ask(request("r3", **sets))).status == 503
+        host.stop()
+
+    run(test())
+
+
 def test_a_customer_that_asks_for_little_has_the_whole_burst_at_any_gateway() -> None:
     """Requests that belong together come to one gateway by chance; one that asks on and on has its part."""
 
