--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -489,6 +489,73 @@
     run(test())
 
 
+@pytest.mark.parametrize("waits", ["for the counter", "for a connection", "for the answer"])
+def test_sigterm_finds_a_request_at_each_of_its_stages_and_answers_it_once(waits: str) -> None:
+    async def test() -> None:
+        host = await Peer().start()
+        async with world(entry("s-1", host.port)) as w:
+            connect, started, go = w.node.upstreams._connect, asyncio.Event(), asyncio.Event()
+
+            async def slow(*args: Any) -> None:
+                started.set()
+                await go.wait()
+                await connect(*args)
+
+            w.node.upstreams._connect = slow  # type: ignore[method-assign]
+            w.script.on(api.Request, lambda e: [api.Count(7, 1.0, 4.0)])
+            w.script.on(api.CounterReply, lambda e: [api.Send("r1", "s-1", 0.0)])
+            client = await w.client()
+            client.send(request("r1"))
+            call = await w.counter.next()
+            if waits == "for the counter":
+                w.node.stop()
+            call.reply(answer(body=b"1"))
+            await soon(started.wait())
+            if waits == "for a connection":
+                w.node.stop()
+            go.set()
+            arrived = await host.next()
+            if waits == "for the answer":
+                w.node.stop()
+            arrived.reply(answer(body=b"done"))
+            message = await client.receive()
+            assert message.body == b"done" and message.headers[b"connection"] == b"close"
+            assert await client.at_end()
+            await soon(w.node.stopped)
+        host.stop()
+
+    run(test())
+
+
+def test_answers_half_written_at_sigterm_arrive_whole() -> None:
+    """A client that reads late: what it is owed is more than the kernel's buffers were made for."""
+
+    async def test() -> None:
+        host = await Peer().start()
+        async with world(entry("s-1", host.port)) as w:
+            w.script.on(api.Request, lambda e: [api.Send(e.id, "s-1", 0.0)])
+            client, body = await w.client(), os.urandom(64 * 1024)
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            client.send(b"".join(request(f"r{i}") for i in range(PIPELINED)))
+            waiting = [await host.next() for _ in range(PIPELINED)]
+            for arrived in waiting[1:]:
+                arrived.reply(answer(body=body))
+            await until(lambda: len(w.script.of(api.AttemptDone)) == PIPELINED - 1)
+            w.node.stop()
+            waiting[0].reply(answer(body=body))
+            await w.done(PIPELINED)
+            assert not w.node.stopped.done()
+            client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            answers = [await client.receive() for _ in range(PIPELINED)]
+            assert all(message.body == body for message in answers)
+            assert b"connection" not in answers[0].headers and answers[-1].headers[b"connection"] == b"close"
+            assert await client.at_end()
+            await soon(w.node.stopped)
+        host.stop()
+
+    run(test())
+
+
 def test_sighup_in_a_drain_disturbs_no_answer() -> None:
     async def test() -> None:
         host, registry, counter = await Peer().start(), Registry(), await Peer().start()
