--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -216,6 +216,32 @@
     run(test())
 
 
+def test_sigterm_before_it_is_ready_ends_the_program_in_order(tmp_path: Path) -> None:
+    """The listener is open, and no list has come: who has connected is told, and the exit is no crash."""
+
+    async def test() -> None:
+        port, path = free_port(), tmp_path / "config.json"
+        registry = await Registry().start()  # accepts, and never answers
+        path.write_text(
+            json.dumps(config(listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{registry.port}"))
+        )
+        process = await start(path)
+        async with asyncio.timeout(LIMIT):
+            while True:
+                try:
+                    client = Client(*await asyncio.open_connection("127.0.0.1", port))
+                    break
+                except ConnectionError:
+                    await asyncio.sleep(0.005)
+        process.send_signal(signal.SIGTERM)
+        assert (await client.ask(b"GET /up HTTP/1.1\r\n\r\n")).status in (200, 503)
+        _, errors = await soon(process.communicate())
+        assert process.returncode == 0 and b"Traceback" not in errors
+        registry.stop()
+
+    run(test())
+
+
 def test_sighup_moves_discovery_and_counter_and_disturbs_nobody(tmp_path: Path) -> None:
     """A bad file changes nothing; a request out at the time is answered; the list moves with its agent."""
 
