Run the real program on settings unlike the first customer's

Two sets: an unsafe class of 0.8 s in a plan without a rate, with nothing that is optional (no zones, counter, meter, Retry-After, cancel; the list asked for, units settled afterwards); and names with signs and letters beyond ASCII, a class keyed by zone, a plan with a ceiling and costs of nought. Both are served, resend what surely never ran, and answer once what may have. Sound: nothing had to be changed for them.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -216,6 +216,82 @@
     run(test())
 
 
+OTHERS: dict[str, dict[str, Any]] = {
+    "an unsafe class with short deadlines, and nothing that is optional": {
+        "classes": [
+            {"name": "sell", "aim_s": 0.5, "give_up_s": 0.8, "worth": 0.0, "repeat": "single_shot"},
+        ],
+        "packages": [{"name": "per seat", "per_second": 0.0, "most_at_once": 0.0, "concurrency": 2}],
+        "zones": [],
+        "skus": [],
+        "ceilings": {"send_cap": 3, "retry_after": False, "may_cancel": False},
+        "family_info": {"may_count": False, "use_period_s": 0.0, "post_paid": True},
+        "registry_mode": "on_request",
+    },
+    "names with signs, a class keyed by zone, a plan with a ceiling and costs of nought": {
+        "classes": [
+            {
+                **{"name": "a.b/c=1;d", "aim_s": 0.3, "give_up_s": 2.0, "worth": 1.0, "repeat": "guarded"},
+                **{"group": "zone", "key_ttl_s": 1.0},
+            },
+            {"name": "\u00fcber", "aim_s": 1.0, "give_up_s": 2.0, "worth": 1.0, "repeat": "free"},
+        ],
+        "packages": [
+            {
+                **{"name": "Gro\u00df & Klein", "per_second": 5.0, "most_at_once": 9.0, "value_factor": 0.0},
+                **{"excess_cost": 0.0, "never_over_rate": 20.0, "hard_burst": 40.0, "tolerance": 1.0},
+            },
+        ],
+        "load_info": {"via": "off", "columns": []},
+    },
+}
+
+
+@pytest.mark.parametrize("name", OTHERS)
+def test_the_program_serves_customers_unlike_the_first(tmp_path: Path, name: str) -> None:
+    """Each class by its method; a second attempt where the first surely never ran; one that ran, once."""
+
+    async def test() -> None:
+        host, registry, port = await Peer().start(), await Registry().start(), free_port()
+        other = {key: value for key, value in settings().items() if key not in OTHERS[name]}
+        other |= OTHERS[name]
+        hosts = [entry(f"s-{i}", host.port, zone="", type="") for i in range(2)]
+        path = tmp_path / "config.json"
+        more = {
+            **{"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{registry.port}", "counter": None},
+            **{"known": {"index": 1, "snapshot": True, "endpoints": hosts}, "settings": other},
+        }
+        path.write_text(json.dumps(config(**more)))
+        process = await start(path)
+        client, (plan,) = await up(port), other["packages"]
+
+        def ask(id: str, cls: dict[str, Any]) -> None:
+            method = b"GET" if cls["repeat"] == "free" else b"POST"
+            names = f"X-Request-ID: {id}\r\nX-Priority-Class: {cls['name']}\r\nPlan: {plan['name']}\r\n"
+            rest = "Cookie: client=00000000b4d65521\r\nX-Timeout: 30\r\nQuota-Info: units=1,spread=1,first=1"
+            client.send(method + b" /api HTTP/1.1\r\n" + f"{names}{rest}\r\n\r\n".encode())
+
+        for number, cls in enumerate(other["classes"]):
+            ask(f"twice{number}", cls)
+            if number == 0:  # the budget for further attempts is of one at the start
+                (await host.next()).reply(answer(503, X_Not_Processed="1"))
+            (await host.next()).reply(answer(body=b"served", Billed_Units="1"))
+            assert (await client.receive()).body == b"served"
+            if cls["repeat"] == "single_shot":
+                ask(f"once{number}", cls)
+                (await host.next()).reset()
+                message = await client.receive()
+                assert message.status in (502, 504) and b"retry-after" not in message.headers
+                assert host.arrived.empty()
+        process.send_signal(signal.SIGTERM)
+        _, errors = await soon(process.communicate())
+        assert process.returncode == 0 and b"Traceback" not in errors
+        host.stop()
+        registry.stop()
+
+    run(test())
+
+
 def test_sigterm_before_it_is_ready_ends_the_program_in_order(tmp_path: Path) -> None:
     """The listener is open, and no list has come: who has connected is told, and the exit is no crash."""
 
