--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -14,6 +14,7 @@
 from coralvale import interface as api
 from coralvale.net.config import parse_config
 from coralvale.net.node import Node
+from coralvale.net.upstream import Upstreams
 
 LIMIT = 20.0  # s within which anything that is waited for must have happened
 
@@ -236,6 +237,19 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def hold_connects(upstreams: Upstreams) -> tuple[asyncio.Event, asyncio.Event]:
+    """From now on connects to hosts wait: events that tell that one has begun, and that let them go on."""
+    connect, started, go = upstreams._connect, asyncio.Event(), asyncio.Event()
+
+    async def held(*args: Any) -> None:
+        started.set()
+        await go.wait()
+        await connect(*args)
+
+    upstreams._connect = held  # type: ignore[method-assign]
+    return started, go
+
+
 class Script:
     """In the module's place: records the events and answers each as the test has laid down."""
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -21,6 +21,7 @@
     answer,
     chunk,
     entry,
+    hold_connects,
     line,
     request,
     run,
@@ -168,15 +169,7 @@
         async with world(known) as w:
             send_all(w, "s-1")
             watch = await w.registry.watch()
-            connect = w.node.upstreams._connect
-            started, go = asyncio.Event(), asyncio.Event()
-
-            async def slow(*args: Any) -> None:
-                started.set()
-                await go.wait()
-                await connect(*args)
-
-            w.node.upstreams._connect = slow  # type: ignore[method-assign]
+            started, go = hold_connects(w.node.upstreams)
             client = await w.client()
             client.send(request())
             await soon(started.wait())
@@ -211,14 +204,7 @@
     async def test() -> None:
         host = await Peer(answer()).start()
         async with world(entry("s-1", host.port)) as w:
-            connect = w.node.upstreams._connect
-            go = asyncio.Event()
-
-            async def slow(*args: Any) -> None:
-                await go.wait()
-                await connect(*args)
-
-            w.node.upstreams._connect = slow  # type: ignore[method-assign]
+            _, go = hold_connects(w.node.upstreams)
             if waits == "for a connection":
                 w.script.on(api.Request, lambda e: [api.Send(e.id, "s-1", 0.0)])
             with socket.create_connection(("127.0.0.1", w.node.server.port)) as client:
@@ -494,14 +480,7 @@
     async def test() -> None:
         host = await Peer().start()
         async with world(entry("s-1", host.port)) as w:
-            connect, started, go = w.node.upstreams._connect, asyncio.Event(), asyncio.Event()
-
-            async def slow(*args: Any) -> None:
-                started.set()
-                await go.wait()
-                await connect(*args)
-
-            w.node.upstreams._connect = slow  # type: ignore[method-assign]
+            started, go = hold_connects(w.node.upstreams)
             w.script.on(api.Request, lambda e: [api.Count(7, 1.0, 4.0)])
             w.script.on(api.CounterReply, lambda e: [api.Send("r1", "s-1", 0.0)])
             client = await w.client()
@@ -746,14 +725,7 @@
         async with world(
             entry("s-1", host.port), real=True, packages=[plan], family_info=family, n_instances=1
         ) as w:
-            connect, go, started = w.node.upstreams._connect, asyncio.Event(), asyncio.Event()
-
-            async def slow(*args: Any) -> None:
-                started.set()
-                await go.wait()
-                await connect(*args)
-
-            w.node.upstreams._connect = slow  # type: ignore[method-assign]
+            started, go = hold_connects(w.node.upstreams)
             w.node.gateway.born = -math.inf  # the ceiling is full
             sets = {"Quota_Info": "units=1,spread=1,first=0"}
             first, second = await w.client(), await w.client()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import pytest
-from net_helpers import Peer, answer, run, soon, until
+from net_helpers import Peer, answer, hold_connects, run, soon, until
 
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
@@ -278,14 +278,7 @@
 def test_a_connection_that_comes_up_after_its_attempt_was_given_up_serves_the_next() -> None:
     async def test() -> None:
         async with bench(answer()) as b:
-            connect, started, go = b.upstreams._connect, asyncio.Event(), asyncio.Event()
-
-            async def slow(*args: Any) -> None:
-                started.set()
-                await go.wait()
-                await connect(*args)
-
-            b.upstreams._connect = slow  # type: ignore[method-assign]
+            started, go = hold_connects(b.upstreams)
             late = b.send()
             await soon(started.wait())
             b.upstreams.give_up(late, Outcome.TIMEOUT)
