Spare the counter where each gateway's part of a burst holds a request

A probe logged each admission with its way; a replay of each customer's store over all gateways by time then told which tries went beyond the quota.

Cause: `sparse` takes each set of 8 gateways and more as one of which each gateway sees too little. A plan with a ceiling has sets of up to 17 and a burst of 51: each part holds a request, each gateway sees one in a second, and the meter tells it the use. Not counted, such customers sent 2% of their tries beyond the quota. Still their dear plan had them counted first.

Mend: where there is a meter and the even part of the burst holds the request, the own bucket decides. The calls go to customers that need them.

The test fails without the mend.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -105,7 +105,8 @@
 
     def _ask(self, now: float, request: api.Request, restrictor: Restrictor) -> bool:
         """Exception: adds a sparse customer's request to the shared bucket, holds it till the total comes."""
-        if not self.settings.may_count or restrictor.soft() or not restrictor.sparse(request.units):
+        sparse = restrictor.sparse(request.units, self.settings.meter_period > 0)
+        if not self.settings.may_count or restrictor.soft() or not sparse:
             return False
         if now < restrictor.full_till:
             self._refuse(request, "quota counted", restrictor.full_till - now)
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -95,9 +95,13 @@
         short = units * self.entries - self.ceiling  # shares are even, so a request takes for all
         return max(0.0, short / self.ceiling_rate) if self.plan.ceiling_rate else 0.0
 
-    def sparse(self, units: float) -> bool:
-        """Whether own traffic tells little: many gateways, or a part of the burst under half a request."""
-        few = self.entries >= WIDE or SPARSE * self.plan.burst < units * self.entries
+    def sparse(self, units: float, metered: bool) -> bool:
+        """Whether own traffic tells little: many gateways, or a part of the burst under half a request.
+
+        Of many gateways each knows enough all the same whose part holds a request and which hears readings.
+        """
+        parts = self.plan.burst / (units * self.entries)
+        few = parts < 1 / SPARSE or (self.entries >= WIDE and not (metered and parts >= 1))
         return self.plan.rate > 0 and few
 
     def spent(self, now: float) -> bool:
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -52,6 +52,16 @@
         assert not [a for a in actions if isinstance(a, api.Count)]
 
 
+def test_where_each_part_of_the_burst_holds_a_request_the_meter_spares_the_counter() -> None:
+    for metered in (True, False):
+        bench = counting(meter_period=0.5 * metered)
+        for entries, units in ((8, 1.0), (4, 2.0), (8, 2.0), (16, 1.0)):  # of a burst of eight
+            customer = entries + 100 * int(units)
+            _, actions = bench.request(customer=customer, entry_gateways=entries, units=units)
+            own = entries < 8 or (metered and units * entries <= PLAN.burst)
+            assert [type(a) for a in actions] == [api.Send if own else api.Count], (metered, entries, units)
+
+
 def test_nothing_is_asked_where_there_is_no_counter_or_little_time() -> None:
     assert [type(a) for a in Bench(gateways=100).request(entry_gateways=MANY)[1]] == [api.Send]
     bench = counting()
