Ask a crowded counter about a sample of the small requests, by their size

Each request cost one call all the same (`Shared.ask`).

Mend: below a trust of 2 a request of a counted customer is asked about with a chance that grows from its part of the largest request (a setting) to one; it adds its units over that chance, so the bucket gets all of the use, on average. What it adds for others stays when it is refused, as those pass by the own bucket, and takes no room from itself. A sample needs no agreement between gateways, so it takes up the swings in the load before customers are left out.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -53,7 +53,7 @@
         self.mean = sum(self.usual) / len(self.usual)
         self.done = Pace(MEMORY)
         self.retries = 1.0
-        self.shared = Shared(settings)
+        self.shared = Shared(settings, self.random)
         self.born, self.step_at, self.ask_at = None, 0.0, 0.0
         self.refused, self.actions = Refusals(every=10.0), list[api.Action]()
         self.answers: dict[type, Any] = {
@@ -97,11 +97,13 @@
             self._bucket(now, request, restrictor)
         restrictor.note(now, request.units)
 
-    def _bucket(self, now: float, request: api.Request, restrictor: Restrictor) -> None:
+    def _bucket(
+        self, now: float, request: api.Request, restrictor: Restrictor, counted: float | None = None
+    ) -> None:
         wait = restrictor.wait(request.units)
         if wait or restrictor.spent(now):
             return self._refuse(request, "quota", wait or STEP)
-        return self._admit(now, request, restrictor)
+        return self._admit(now, request, restrictor, counted)
 
     def _ask(self, now: float, request: api.Request, restrictor: Restrictor) -> bool:
         """Exception: adds a sparse customer's request to the shared bucket, holds it till the total comes."""
@@ -111,9 +113,13 @@
         if now < restrictor.full_till:
             self._refuse(request, "quota counted", restrictor.full_till - now)
             return True
-        calls = self.shared.ask(now, request, restrictor)
-        self.actions += calls
-        return bool(calls)
+        if not self.shared.covers(now, request, restrictor):
+            return False
+        if calls := self.shared.ask(now, request, restrictor):
+            self.actions += calls
+        else:
+            self._bucket(now, request, restrictor, counted=0.0)
+        return True
 
     def _counted(self, now: float, event: api.CounterReply) -> None:
         """Lets in what the shared bucket holds; without a total in time this gateway's own decides."""
@@ -133,7 +139,7 @@
         wait, calls = self.shared.settle(now, event, ask)
         self.actions += calls
         if not wait:
-            return self._admit(now, request, restrictor, counted=True)
+            return self._admit(now, request, restrictor, counted=request.units)
         restrictor.full_till = now + wait
         return self._refuse(request, "quota counted", wait)
 
@@ -155,10 +161,10 @@
         now: float,
         request: api.Request,
         restrictor: Restrictor,
-        counted: bool = False,
+        counted: float | None = None,
         pooled: bool = False,
     ) -> None:
-        """The guards, then a server; the shared bucket (`counted`) or the pool may hold its units already."""
+        """The guards, then a server; the shared bucket may have been told and hold units, so may the pool."""
         if refusal := self._guard(now, request, restrictor):
             return self._turn_away(request, restrictor, counted, *refusal)
         if not pooled and (wait := restrictor.ceiling_wait(request.units)):
@@ -169,16 +175,16 @@
         self._sort(now)
         if (host := self._pick_cold(now) or self._pick(now)) is None:
             return self._turn_away(request, restrictor, counted, "no server", STEP)
-        restrictor.charge(request.units, counted, pooled)
+        restrictor.charge(request.units, counted is not None, pooled)
         self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
         self.requests[request.id] = Held(request, now, restrictor, pooled=pooled)
         return self._send(now, self.requests[request.id], host)
 
     def _turn_away(
-        self, request: api.Request, restrictor: Restrictor, counted: bool, reason: str, wait: float
+        self, request: api.Request, restrictor: Restrictor, counted: float | None, reason: str, wait: float
     ) -> None:
         """Refuses what the customer's bucket let in: units that were counted are taken back."""
-        restrictor.uncounted -= request.units * counted
+        restrictor.uncounted -= counted or 0.0
         self._refuse(request, reason, wait)
 
     def _guard(self, now: float, request: api.Request, restrictor: Restrictor) -> tuple[str, float] | None:
--- a/coralvale/shared.py
+++ b/coralvale/shared.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections import deque
 from dataclasses import dataclass
 
@@ -16,13 +17,15 @@
 from coralvale.restrictor import SLACK, Restrictor
 
 LIFE = 50.0  # s that a number serves: each new one starts with a full burst, and none lives past 60
-START = 0.75  # share of the customers that is counted at the start: all gateways may start at once
-BORNE = 0.1  # mean crowding at which that share stays as it is: some wait means that it is well used
-SWING = 1.0  # by which, for each second and unit of crowding off that, the logarithm of the share moves
+START = 0.75  # trust at the start: all gateways may start at once
+ALL = 1.0  # trust from which on all customers are counted
+EACH = 2.0  # trust from which on each request is asked about, and not a sample of the small ones
+BORNE = 0.1  # mean crowding at which the trust stays as it is: some wait means that it is well used
+SWING = 1.0  # by which, for each second and unit of crowding off that, the logarithm of the trust moves
 RETURN = 4.0  # the same where it is less crowded: a counter that was lost for some seconds is soon used again
 RECENT = 0.1  # weight of the newest call in the mean crowding: gateways that judge by single calls disagree
 FORGET = 5.0  # s in which crowding that is not seen any more is forgotten
-LEAST = 0.05  # share that is counted however crowded it is, to see when the counter has room again
+LEAST = 0.05  # trust however crowded it is, to see when the counter has room again
 POOLS = 1 << 33  # past all customers' numbers
 GOLDEN = (math.sqrt(5) - 1) / 2  # spreads customers' numbers evenly over 0 to 1
 MEAN = 0.05  # weight of the newest request in the mean price of their plans
@@ -53,47 +56,64 @@
     amount: float
     restrictor: Restrictor
     request: api.Request | None = None
-    counted: bool = False  # the customer's shared bucket holds the request's units already
+    counted: float | None = None  # for a call to a pool: units that the shared bucket holds, if it was told
+    others: float = 0.0  # units of the amount that stand for requests like it that are not asked about
     fills: bool = False  # it fills up what an idle customer has not used
 
 
 class Shared:
     """This gateway's calls to the counter: which are made, what their totals mean, how crowded it is."""
 
-    def __init__(self, settings: api.Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: api.Settings, lot: random.Random) -> None:
+        self.settings, self.lot = settings, lot
         self.asks: dict[int, deque[Ask]] = {}  # by name; totals of a name come in the order of its calls
-        self.trust, self.told_at = START, -math.inf  # share of the customers that are counted
+        # Up to ALL it is the share of the customers that are counted; from there on all are.
+        self.trust, self.told_at = START, -math.inf
         self.crowded = 0.0  # mean share of the way from the least delay to the time-out that calls take
         self.least = math.inf  # s that a call takes when nobody else is served
         self.value = 0.0  # mean price of the plans of requests that a call may decide on
 
     # Calls
 
-    def ask(self, now: float, request: api.Request, restrictor: Restrictor) -> list[api.Action]:
-        """The call that shall decide on a request, if one may."""
+    def covers(self, now: float, request: api.Request, restrictor: Restrictor) -> bool:
+        """Whether the customer is counted, if the request can wait for a reply."""
         most, since = self.settings.counter_timeout, min(1.0, now - self.told_at)
         since = 0.0 if self.told_at == -math.inf else since
         self.told_at = now
         swing = SWING if self.crowded > BORNE else RETURN
         self.trust *= math.exp(swing * since * (BORNE - self.crowded))
-        self.trust = max(LEAST, min(1.0, self.trust))
+        self.trust = max(LEAST, min(EACH, self.trust))
         self.crowded *= math.exp(-since / FORGET)  # one that is not asked shows nothing
         self.least *= 1 + DRIFT * since
         value = restrictor.plan.price
         self.value += MEAN * (value - self.value) if self.value else value
-        in_time = request.expires_at - now > 4 * most
         # Where not all calls can be made, some customers are counted whole, by all of their gateways alike:
         # a bucket that is told of a part of the use is no better than none.
-        if not in_time or request.customer * GOLDEN % 1 * self.value >= self.trust * value:
+        in_time = request.expires_at - now > 4 * most
+        return in_time and request.customer * GOLDEN % 1 * self.value < self.trust / ALL * value
+
+    def chance(self, units: float) -> float:
+        """How likely a request of a counted customer is asked about: in a crowd, by its size.
+
+        Most requests are small and most units are in large ones, so this spares most calls and few units.
+        """
+        share = min(1.0, units / self.settings.most_units) if self.settings.most_units < math.inf else 1.0
+        return min(1.0, share + (1 - share) * max(0.0, self.trust - ALL) / (EACH - ALL))
+
+    def ask(self, now: float, request: api.Request, restrictor: Restrictor) -> list[api.Action]:
+        """The call that shall decide on a counted customer's request, if it is drawn to be asked about."""
+        chance = self.chance(request.units)
+        if chance < 1 and self.lot.random() >= chance:
             return []
         plan, (name, began) = restrictor.plan, self._number(now, request.customer)
         bucket = Bucket(name, began, plan.rate, plan.burst)
-        amount, restrictor.uncounted = request.units + restrictor.uncounted, 0.0
-        return [self._call(Ask(now, bucket, amount, restrictor, request))]
+        # Those that are not asked about pass by the gateways' own buckets: the one that is stands for them.
+        others = request.units / chance - request.units
+        amount, restrictor.uncounted = request.units + others + restrictor.uncounted, 0.0
+        return [self._call(Ask(now, bucket, amount, restrictor, request, others=others))]
 
     def overflow(
-        self, now: float, request: api.Request, restrictor: Restrictor, counted: bool
+        self, now: float, request: api.Request, restrictor: Restrictor, counted: float | None
     ) -> list[api.Action]:
         """The call that takes a request's units from the pool of a ceiling, if there is one."""
         if not restrictor.pool[0] or request.expires_at - now <= 4 * self.settings.counter_timeout:
@@ -133,8 +153,8 @@
         """Seconds until the shared bucket has room, nought for now; and the calls that put it right."""
         assert ask.request
         before, calls = self._right(now, event, ask)
-        bucket, fill = ask.bucket, max(0.0, before) + ask.amount
-        wait = max(0.0, fill - max(bucket.most, ask.amount)) / bucket.rate
+        bucket, amount = ask.bucket, ask.amount - ask.others
+        wait = max(0.0, max(0.0, before) + amount - max(bucket.most, amount)) / bucket.rate
         if wait:  # takes nothing
             calls.append(self._call(Ask(now, bucket, -ask.request.units, ask.restrictor)))
         return wait, calls
