Look for the client's end before each write, though the loop may not have read it

Seen by a test over real connections with kept connections to the hosts: where a request and its client's end, or a host's refusal and then that end, have come before the loop reads them, the first or the further attempt is written all the same, as no wait lies between the reading and the write. Checked and sound, by tests that were there: clients that leave while a connect is under way, while reading is paused, behind unread and pipelined bytes, and while the module holds the request.

Cause: `ClientConnection.gone` asked the kernel only where reading was paused. Mend: it always does when an attempt is about to be written; that is one poll. Both cases of the test fail without it.

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -372,11 +372,10 @@
         return readable(self.transport.get_extra_info("socket").fileno())
 
     def gone(self) -> bool:
-        """Whether the client has left behind bytes that are not read: the loop does not tell of that."""
+        """Whether the client has left, even where the loop has not been told: its end may be yet unread."""
         if self.transport is None or self.transport.is_closing():
             return True
-        descriptor = self.transport.get_extra_info("socket").fileno()
-        return self.paused and readable(descriptor, select.POLLRDHUP)
+        return readable(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
 
     def pause_writing(self) -> None:
         self.stuck_at = time.monotonic()
@@ -560,7 +559,7 @@
                 connection.transport.abort()
             elif connection.ended:
                 continue
-            elif connection.gone():
+            elif connection.paused and connection.gone():  # the loop tells of the others
                 connection.transport.abort()
             elif connection.idle():
                 most = IDLE if connection.asked and room else SHORT_IDLE if connection.asked else PARTIAL
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -197,6 +197,32 @@
     run(test())
 
 
+@pytest.mark.parametrize("attempt", ["first", "further"])
+def test_nothing_is_sent_for_a_client_whose_end_is_here_and_not_read_yet(attempt: str) -> None:
+    """A kept connection is there, so an attempt is written before the loop comes to the client's end."""
+
+    async def test() -> None:
+        host, first = await Peer(answer()).start(), await Peer().start()
+        async with world(entry("s-1", host.port), entry("s-2", first.port)) as w:
+            send_all(w, "s-1", *["s-2"] * (attempt == "further"), "s-1")
+            await w.ask(request("warm"))
+            pool = next(iter(w.node.upstreams.pools.values()))
+            await until(lambda: pool.idle and w.node.clock.now() - pool.idle[0].idle_since > 2 * REST)
+            with socket.create_connection(("127.0.0.1", w.node.server.port)) as client:
+                client.sendall(request("r1"))
+                if attempt == "further":  # the host's answer is the first that the loop finds, then the end
+                    arrived = await first.next()
+                    descriptor = arrived.writer.get_extra_info("socket").fileno()
+                    os.write(descriptor, answer(503, X_Not_Processed="1"))
+            await until(lambda: w.script.of(api.Abandoned) and not w.node.held)
+            assert w.script.of(api.AttemptDone)[-1].outcome is Outcome.NOT_SENT
+            assert host.arrived.qsize() == 1  # the one before
+        host.stop()
+        first.stop()
+
+    run(test())
+
+
 @pytest.mark.parametrize("waits", ["for a connection", "for the module"])
 def test_a_client_that_left_behind_unread_bytes_is_noticed(waits: str) -> None:
     """So many requests of its connection are open that it is not read, and its end stands behind the rest."""
