Take the system's limit on descriptors into account, so that the reserve is real

Term: idle clients may fill the descriptors while discovery is down; the watch, the counter and connections to hosts still have to open.

Seen by a test of the real program: 96 descriptors, discovery down, 300 clients that stay and come again. Told 1,024 while the system gives 96 it runs out: clients alone may take 480, accepts fail, and each place that one accept frees goes to the next client, so the watch never opens.

Cause: `Node` divided up the configuration's figure alone. Mend: the lower one of that and RLIMIT_NOFILE. The flood test ran out of descriptors by the same difference; now its limit sinks after the start, so it still does for real. The new test fails without the mend in the second case.

Sound by tests that were there: the longest idle are closed first, and accepting goes on after EMFILE, in pauses.

--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import resource
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -40,6 +41,15 @@
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
+def descriptors(most: int) -> int:
+    """How many there are: what the configuration allows may be more than the system does.
+
+    Clients that take the last one would keep out the watch, the counter and the hosts.
+    """
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return most if soft == resource.RLIM_INFINITY else min(most, soft)
+
+
 class Held:
     """A request from its last byte until it is answered and no attempt is out."""
 
@@ -77,7 +87,8 @@
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.delays: dict[int, float] = {}  # the module's timers by token, to set one again that was lost
-        share = (config.sockets - min(RESERVE, config.sockets // 4)) // 2  # for clients, and for hosts
+        sockets = descriptors(config.sockets)
+        share = (sockets - min(RESERVE, sockets // 4)) // 2  # for clients, and for hosts
         surplus = share // 8
         self.server = Server(config.listen, config.settings, self, share - surplus, surplus)
         self.upstreams = Upstreams(
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -164,8 +164,8 @@
     closed: int = 0
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
-    async def start(self) -> Peer:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> Peer:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import resource
@@ -32,6 +33,7 @@
 from coralvale.adapter import read_settings
 from coralvale.net.clock import Clock
 from coralvale.net.config import ConfigError, flatten, parse_config, read_config
+from coralvale.net.node import TOLD
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -180,7 +182,7 @@
 
 @pytest.mark.parametrize("sockets", [64, 1024])
 def test_a_flood_of_connections_is_survived(tmp_path: Path, sockets: int) -> None:
-    """With 64 its own bounds hold it under the limit; told 1,024 it runs out of descriptors, and goes on."""
+    """With 64 its own bounds hold it under the limit; where that sinks it runs out of them, and goes on."""
 
     async def test() -> None:
         host, registry, port = await Peer(answer(body=b"served")).start(), Registry(), free_port()
@@ -193,8 +195,10 @@
         }
         path = tmp_path / "config.json"
         path.write_text(json.dumps(config(**more)))
-        process = await start(path, descriptors=64)
+        process = await start(path, descriptors=sockets)
         first = await up(port)
+        if sockets > 64:
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (64, 64))
         first.send(request("first")[:-2])  # a request under way, so that it is not closed as idle
         flood = [Client(*await asyncio.open_connection("127.0.0.1", port)) for _ in range(150)]
         for client in flood:
@@ -216,6 +220,48 @@
     run(test())
 
 
+@pytest.mark.parametrize("sockets", [96, 1024])
+def test_idle_clients_leave_descriptors_to_the_watch_while_discovery_is_down(
+    tmp_path: Path, sockets: int
+) -> None:
+    """Also where the configuration allows more of them than there are."""
+
+    async def test() -> None:
+        host, registry = await Peer(answer(body=b"new")).start(), Registry()
+        port, agent = free_port(), free_port()
+        more = {
+            "listen": f"127.0.0.1:{port}",
+            "discovery": f"127.0.0.1:{agent}",
+            "known": {"index": 1, "snapshot": True, "endpoints": []},
+            "limits": {"sockets": sockets},
+        }
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config(**more)))
+        process = await start(path, descriptors=96)
+        await up(port)
+        idle = [Client(*await asyncio.open_connection("127.0.0.1", port)) for _ in range(300)]
+        for client in idle:
+            client.send(b"GET /up HTTP/1.1\r\n\r\n")
+        assert (await idle[0].receive()).status == 200
+        async with asyncio.timeout(TOLD):  # they stay, and take each place that becomes free
+            await registry.start(agent)
+            watch = await registry.watch()
+            watch.reply(chunk(line(2, entry("s-1", host.port))))
+            answered = b""
+            while answered != b"new":  # until the program has taken the list in
+                asking = Client(*await asyncio.open_connection("127.0.0.1", port))
+                with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                    answered = (await asking.ask(request())).body
+                asking.close()
+        process.send_signal(signal.SIGTERM)
+        _, err = await soon(process.communicate())
+        assert process.returncode == 0 and b"Traceback" not in err
+        host.stop()
+        registry.stop()
+
+    run(test())
+
+
 OTHERS: dict[str, dict[str, Any]] = {
     "an unsafe class with short deadlines, and nothing that is optional": {
         "classes": [
