--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -29,6 +29,7 @@
 NEAR = 12  # servers that a gateway keeps to, so that its few attempts tell something of each
 HASTE = 0.5  # share of the multiple by which a cold server is pushed over that it may get at most
 FEWEST = 4  # of them drawn and compared for a request; more of both where few gateways share the fleet
+MOST = 64  # of them compared at the most: the best of so many is as good as that of a thousand
 SOON = 0.25  # share of the aim after which one whom a quota refused may come back: later is too late
 MEMORY = 0.05  # weight of the newest of own events: twenty of them give a mean to a fifth
 PATIENT = 5.0  # usual delays that an attempt is given at least: by chance one in a hundred takes longer
@@ -282,7 +283,7 @@
         if held:  # those that are near have a connection
             pool = [h for h in self.near if self._may_go(now, held, h)]
             pool = pool or [h for h in self.warm if self._may_go(now, held, h)]
-        drawn = max(FEWEST, 4 * len(self.warm) // self.settings.gateways)
+        drawn = min(MOST, max(FEWEST, 4 * len(self.warm) // self.settings.gateways))
         if drawn < len(pool):
             pool = self.random.choices(pool, [h.scale for h in pool], k=drawn)
         best, least = None, math.inf
