Take back only its own units for a client that leaves while the counter is asked

Seen in reading and by a test: a call adds a request's units and those that its gateway had let in uncounted before. Where the client leaves, `Shared.leave` took back the whole amount, so what had been used was forgotten and could be used again. With a sample it would also forget what the request stands for.

Mend: its own units alone go back.

--- a/coralvale/shared.py
+++ b/coralvale/shared.py
@@ -180,9 +180,9 @@
         """A client has left: its call's reply decides nothing any more."""
         for ask in (a for asks in self.asks.values() for a in asks):
             if ask.request and ask.request.id == request:
+                if not ask.bucket.pool:  # what it was added for besides has been used
+                    ask.restrictor.uncounted -= ask.request.units  # taken back with the next call
                 ask.request = None
-                if not ask.bucket.pool:
-                    ask.restrictor.uncounted -= ask.amount  # taken back with the next call
 
     def overdue(self, now: float) -> list[int]:
         """Names of calls whose reply was lost: their requests must not wait for it."""
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -294,6 +294,17 @@
     assert bench.gateway.shared.asks == {} and bench.gateway.requests == {}
 
 
+def test_one_that_leaves_takes_back_its_own_units_and_none_that_were_used() -> None:
+    bench = counting()
+    _, call = ask(bench)
+    assert [type(a) for a in bench.feed(api.CounterReply(call.name, False, 0.0))] == [api.Send]
+    name, call = ask(bench)
+    assert call.amount == 2.0  # with that of the one that was let in uncounted
+    bench.feed(api.Abandoned(name))
+    bench.feed(api.CounterReply(call.name, True, 2.0))
+    assert ask(bench)[1].amount == 0.0
+
+
 def test_a_counter_that_was_lost_is_soon_used_again() -> None:
     bench, counter = counting(), Counter()
     bench.gateway.shared.trust = 0.05
