Remember until when a ceiling's pool has no room, in place of asking it again

Cause: `_admit` asks the pool (`Shared.overflow`) for each request that the even part does not hold, also where it has just said that it has no room, whatever the trust. Mend: what it told is remembered, as for the shared bucket (`full_till`), and a refusal until then takes no call.

The test fails without the mend.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -150,6 +150,7 @@
         wait, calls = STEP, list[api.Action]()
         if event.ok and math.isfinite(event.total):
             wait, calls = self.shared.settle(now, event, ask)
+            ask.restrictor.pool_till = now + wait
         self.actions += calls
         if wait:
             return self._turn_away(ask.request, ask.restrictor, ask.counted, "ceiling", wait)
@@ -169,6 +170,8 @@
         if refusal := self._guard(now, request, restrictor):
             return self._turn_away(request, restrictor, counted, *refusal)
         if not pooled and (wait := restrictor.ceiling_wait(request.units)):
+            if now < restrictor.pool_till:
+                return self._turn_away(request, restrictor, counted, "ceiling", restrictor.pool_till - now)
             if calls := self.shared.overflow(now, request, restrictor, counted):
                 self.actions += calls
                 return None
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -40,6 +40,7 @@
         self.asking, self.asked_at = 0.0, now  # units a second asked for here, refused ones too
         self.uncounted = 0.0  # units let in here that the shared bucket has not been told of
         self.full_till = -math.inf  # until when the shared bucket is known to have no room
+        self.pool_till = -math.inf  # the same for the pool of the ceiling
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
         self.ceiling = min(self.ceiling_burst, self.ceiling_rate * (now - born))
 
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -177,6 +177,21 @@
     assert sent >= 36  # a new pool begins full and drains
 
 
+def test_a_pool_known_to_have_no_room_is_not_asked_again_before_it_has() -> None:
+    bench = counting(plans=(replace(CAPPED, excess_cost=0.0),))  # no call about the quota
+    _, call = ask(bench)
+    began = bench.gateway.shared.asks[call.name][0].bucket.began
+    rate, most = bench.gateway.customers[1].pool
+    total = rate * (bench.now - began) + most + rate + call.amount  # a second's worth over the brim
+    actions = bench.feed(api.CounterReply(call.name, True, total))
+    assert [a.amount for a in actions if isinstance(a, api.Count)] == [-1.0]
+    asked = []
+    for _ in range(24):  # each 0.05 s, of which the even part lets in every seventh
+        bench.wait(0.05)
+        asked.append(api.Count in [type(a) for a in bench.request(entry_gateways=MANY)[1]])
+    assert not any(asked[:20]) and any(asked[20:])
+
+
 def test_even_parts_and_pool_keep_to_the_ceiling_together() -> None:
     """Forty gateways that are asked for far more than the ceiling, of which the counter forgets all twice."""
     plan = replace(CAPPED, excess_cost=0.1, rate=1e6, burst=1e6)  # nothing but the ceiling binds
