--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -65,6 +65,13 @@
     )
 
 
+async def end(process: asyncio.subprocess.Process) -> None:
+    """Ends a program as operators do; it has to end in order."""
+    process.send_signal(signal.SIGTERM)
+    _, errors = await soon(process.communicate())
+    assert process.returncode == 0 and b"Traceback" not in errors
+
+
 async def up(port: int) -> Client:
     """A connection to a program that has become ready."""
     async with asyncio.timeout(LIMIT):
@@ -212,9 +219,7 @@
         assert (await (await up(port)).ask(request("after"))).body == b"served"
         first.send(b"\r\n")
         assert (await first.receive()).body == b"served"
-        process.send_signal(signal.SIGTERM)
-        _, err = await soon(process.communicate())
-        assert process.returncode == 0 and b"Traceback" not in err
+        await end(process)
         host.stop()
         registry.stop()
 
@@ -254,9 +259,7 @@
                 with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
                     answered = (await asking.ask(request())).body
                 asking.close()
-        process.send_signal(signal.SIGTERM)
-        _, err = await soon(process.communicate())
-        assert process.returncode == 0 and b"Traceback" not in err
+        await end(process)
         host.stop()
         registry.stop()
 
@@ -288,11 +291,7 @@
                 path.write_text(json.dumps(config(**more)))
                 processes.append(await start(path))
             await asyncio.gather(*(up(port) for port in ports))
-        for process in processes:
-            process.send_signal(signal.SIGTERM)
-        ended = await soon(asyncio.gather(*(process.communicate() for process in processes)))
-        assert [p.returncode for p in processes] == [0] * len(ports)
-        assert not any(b"Traceback" in err for _, err in ended)
+        await asyncio.gather(*map(end, processes))
         registry.stop()
 
     run(test())
@@ -365,9 +364,7 @@
                 message = await client.receive()
                 assert message.status in (502, 504) and b"retry-after" not in message.headers
                 assert host.arrived.empty()
-        process.send_signal(signal.SIGTERM)
-        _, errors = await soon(process.communicate())
-        assert process.returncode == 0 and b"Traceback" not in errors
+        await end(process)
         host.stop()
         registry.stop()
 
