Share the full listener, the watch's head and the drawn call among the tests

The test of failed calls wrote again what the test of a move had: a listener with a full backlog (now `FullListener`), and what `answer` gives; its `stop` also opened a socket for nothing. The head of a watch stood in five places, the drawing of a small request in two.

--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import selectors
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -195,12 +196,33 @@
             writer.transport.abort()
 
 
+class FullListener:
+    """A listener with a full backlog, which answers no further SYN: connects to it hang."""
+
+    def __init__(self) -> None:
+        self.socket = socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.socket.listen(0)
+        self.address = self.socket.getsockname()
+        self.fillers = [socket.socket() for _ in range(4)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+
+    def close(self) -> None:
+        for each in (*self.fillers, self.socket):
+            each.close()
+
+
+WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
 class Registry(Peer):
     """Discovery: each watch is answered with a head, then with what the test tells."""
 
     async def watch(self) -> Arrived:
         watch = await self.next()
-        watch.reply(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        watch.reply(WATCH_HEAD)
         return watch
 
 
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -267,11 +267,17 @@
         assert ask(bench, customer=1000, units=4.0)[1].amount == 4.0  # the large ones are all asked about
 
 
-def test_a_request_refused_by_the_shared_bucket_leaves_there_what_it_stands_for() -> None:
-    bench = counting(most_units=4.0)
-    calls = [bench.request(customer=customer, entry_gateways=MANY)[1][0] for customer in range(100)]
+def sampled(bench: Bench) -> api.Count:
+    """The first call about a small request that is drawn to be asked about, and so stands for others."""
+    calls = (bench.request(customer=customer, entry_gateways=MANY)[1][0] for customer in range(100))
     call = next(c for c in calls if isinstance(c, api.Count))
     assert call.amount == 4.0
+    return call
+
+
+def test_a_request_refused_by_the_shared_bucket_leaves_there_what_it_stands_for() -> None:
+    bench = counting(most_units=4.0)
+    call = sampled(bench)
     actions = bench.feed(api.CounterReply(call.name, True, 1e6))
     assert [a.amount for a in actions if isinstance(a, api.Count)] == [-1.0]
 
@@ -279,8 +285,7 @@
 def test_what_stands_for_others_takes_no_room_from_the_request_itself() -> None:
     for fill, lets_in in ((PLAN.burst - 1.0, True), (PLAN.burst - 0.5, False)):
         bench = counting(most_units=4.0)
-        calls = [bench.request(customer=customer, entry_gateways=MANY)[1][0] for customer in range(100)]
-        call = next(c for c in calls if isinstance(c, api.Count))
+        call = sampled(bench)
         began = bench.gateway.shared.asks[call.name][0].bucket.began
         total = call.amount + fill + PLAN.rate * (bench.now - began)
         actions = bench.feed(api.CounterReply(call.name, True, total))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,13 +7,25 @@
 import json
 import math
 import random
-import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
-from net_helpers import LIMIT, Registry, chunk, entry, line, run, run_jumping, soon, until
+from net_helpers import (
+    LIMIT,
+    WATCH_HEAD,
+    FullListener,
+    Registry,
+    answer,
+    chunk,
+    entry,
+    line,
+    run,
+    run_jumping,
+    soon,
+    until,
+)
 
 from coralvale import interface as api
 from coralvale.net.config import Place
@@ -138,7 +150,7 @@
         async with bench() as b:
             await b.told()
             (await b.registry.watch()).reply(chunk(b"{nonsense\n"))
-            (await b.registry.next()).reply(b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n")
+            (await b.registry.next()).reply(answer(503, b""))
             watch = await b.registry.watch()
             watch.reply(chunk(line(44, {"name": "s-9"}, entry("s-5", 5))))
             assert [s.id for s in (await b.told())[1]] == ["s-5"]
@@ -170,25 +182,18 @@
         self.fails, self.turn, self.back_at = fails, turn, math.inf
         self.server: asyncio.Server | None = None
         self.address = ("127.0.0.1", 0)
-        self.fillers: list[socket.socket] = []
+        self.full: FullListener | None = None
         self.open: list[asyncio.StreamWriter] = []
         self.calls = 0
 
     async def start(self) -> None:
-        if self.fails in ("refused", "hangs"):
-            self.full = socket.socket()
-            self.full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.full.bind(self.address)
-            self.address = self.full.getsockname()
-            if self.fails == "refused":
-                return
-            self.full.listen(0)
-            for _ in range(4):  # a listener with a full backlog answers no further SYN
-                self.fillers.append(socket.socket())
-                self.fillers[-1].setblocking(False)
-                self.fillers[-1].connect_ex(self.address)
+        if self.fails == "hangs":
+            self.full = FullListener()
+            self.address = self.full.address
             return
         await self._listen()
+        if self.fails == "refused":
+            self._close()
 
     async def _listen(self) -> None:
         self.server = await asyncio.start_server(self._serve, *self.address)
@@ -196,10 +201,9 @@
 
     async def come_back(self) -> None:
         self.back_at = asyncio.get_running_loop().time()
-        for filler in self.fillers:
-            filler.close()
-        if self.server is None:
+        if self.full:
             self.full.close()
+        if self.server is None:
             await self._listen()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -209,28 +213,30 @@
         writer.transport.set_write_buffer_limits(high=0)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await reader.readuntil(b"\r\n\r\n")
-            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
             if loop.time() > self.back_at:
                 await asyncio.sleep(self.turn)
-                writer.write(head + chunk(line(42, entry("s-1", 1, status="leaving"))))
+                writer.write(WATCH_HEAD + chunk(line(42, entry("s-1", 1, status="leaving"))))
             elif self.fails == "says 503":
-                writer.write(b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n")
+                writer.write(answer(503, b""))
             elif self.fails == "tells half and closes":
-                writer.write(head + chunk(line(42, entry("s-9", 1))[:30]))
+                writer.write(WATCH_HEAD + chunk(line(42, entry("s-9", 1))[:30]))
                 writer.close()
             elif self.fails == "tells half":
-                writer.write(head + chunk(line(42, entry("s-9", 1))[:30]))
+                writer.write(WATCH_HEAD + chunk(line(42, entry("s-9", 1))[:30]))
             elif self.fails == "falls silent" and self.calls == 1:
-                writer.write(head + chunk(b"\n"))
+                writer.write(WATCH_HEAD + chunk(b"\n"))
             elif self.fails == "resets" and self.calls == 1:
-                writer.write(head + chunk(b"\n"))
+                writer.write(WATCH_HEAD + chunk(b"\n"))
                 await asyncio.sleep(1.0)
                 writer.transport.abort()
 
+    def _close(self) -> None:
+        assert self.server
+        self.server.close()
+        self.server = None
+
     def stop(self) -> None:
-        self.full = socket.socket()
-        if self.server:
-            self.server.close()
+        self._close()
         for writer in self.open:
             writer.transport.abort()
 
@@ -359,19 +365,12 @@
             b.discovery.backoff = 10 * LIMIT
             other = Registry()
             await other.start()
-            with socket.socket() as full:  # a listener with a full backlog answers no further SYN
-                full.bind(("127.0.0.1", 0))
-                full.listen(0)
-                fillers = [socket.socket() for _ in range(4)]
-                for filler in fillers:
-                    filler.setblocking(False)
-                    filler.connect_ex(full.getsockname())
-                b.discovery.move(full.getsockname())
-                await asyncio.sleep(0)
-                b.discovery.move(other.address)
-                await other.watch()
-                for filler in fillers:
-                    filler.close()
+            full = FullListener()
+            b.discovery.move(full.address)
+            await asyncio.sleep(0)
+            b.discovery.move(other.address)
+            await other.watch()
+            full.close()
             other.stop()
 
     run(test())
@@ -517,9 +516,7 @@
             arrived = await b.registry.next()
             with pytest.raises(TimeoutError):
                 await asyncio.wait_for(b.registry.next(), 0.4)
-            arrived.reply(
-                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(line(42, entry("s-3", 3)))
-            )
+            arrived.reply(WATCH_HEAD + chunk(line(42, entry("s-3", 3))))
             await b.told()
             await b.told()
             assert set(b.discovery.endpoints) == {"s-1", "s-2", "s-3"}
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,6 +17,7 @@
 import pytest
 from net_helpers import (
     LIMIT,
+    WATCH_HEAD,
     Client,
     Peer,
     Registry,
@@ -275,9 +276,9 @@
         registry, ports = Registry(), [free_port() for _ in range(6)]
         await registry.start()
         if agent == "is full":
-            registry.auto = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n"
+            registry.auto = answer(503, b"")
         if agent == "answers":
-            registry.auto = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(b"\n")
+            registry.auto = WATCH_HEAD + chunk(b"\n")
         processes = []
         async with asyncio.timeout(READY_WITHIN):
             for port in ports:
