--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -285,11 +285,11 @@
         return took
 
     worst = 0.0
-    for step in range(5):
+    for step in range(8):
 
         async def phased(step: int = step) -> None:
             nonlocal worst
-            worst = max(worst, await test(9.0 + step * 0.61))
+            worst = max(worst, await test(9.0 + step * 0.37))
 
         run_jumping(phased())
     assert turn <= worst < TOLD
