Move admission out of the decision module into coralvale/admission.py

Class Admission owns the customers' restrictors and the shared quota. It answers with Admitted, Refused or Pending (records in state.py), reasons are an enum. Moved from Gateway: lookup, settling, ageing out and the one-second step of restrictors; the own bucket; calls to the shared bucket and their replies; the ceiling and its pool; taking back counted units of a request refused after all. Gateway asks admission, then the guards, the ceiling, picks a server, charges.

shared.py is now shared_quota.py: Shared is SharedQuota, Ask is PendingCall, asks is pending, with full names for its constants. Tests reach the same state by the new names; no check is changed.

Whether a customer is sparse is worked out after the cheaper checks, and covers() no longer divides by one.

--- /dev/null
+++ b/coralvale/admission.py
@@ -0,0 +1,130 @@
+"""Admission: whether a request is within its customer's quota and ceiling at this gateway.
+
+Ordinary path: the customer's leaky bucket (NICC ND1621, clause 5 and figure 4). Exception: a customer of whom
+this gateway sees too little has its bucket on the shared counter, whose reply then decides.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+
+from coralvale import interface as api
+from coralvale.restrictor import STEP, Restrictor
+from coralvale.shared_quota import Calls, PendingCall, SharedQuota
+from coralvale.state import Admitted, Decision, Pending, Reason, Refused
+
+IDLE = 60.0  # s after which an idle customer's restrictor is dropped, once its bucket is empty
+
+
+class Admission:
+    """The customers' restrictors of one gateway, and its part in the buckets on the shared counter."""
+
+    def __init__(self, settings: api.Settings, lot: random.Random) -> None:
+        self.settings = settings
+        self.restrictors: dict[int, Restrictor] = {}  # by customer
+        self.shared = SharedQuota(settings, lot)
+        self.born: float | None = None  # when this gateway had its first event
+
+    def restrictor(self, now: float, request: api.Request) -> Restrictor:
+        """The restrictor of the request's customer, up to date with the time and with what it names."""
+        plan, restrictor = self.settings.plans[request.plan], self.restrictors.get(request.customer)
+        if restrictor is None:
+            restrictor = Restrictor(plan, request.entry_gateways, now, self.born, self.settings.may_count)
+            self.restrictors[request.customer] = restrictor
+        if restrictor.plan is not plan or restrictor.entries != request.entry_gateways:
+            restrictor.drain(now)
+            restrictor.settle(plan, request.entry_gateways)
+            restrictor.rate = max(restrictor.floor, min(restrictor.rate, plan.rate))
+        restrictor.seen_at = now
+        restrictor.drain(now)
+        return restrictor
+
+    def decide(self, now: float, request: api.Request, restrictor: Restrictor) -> Decision:
+        """Decides on a new request by the own bucket, or has the shared one of a sparse customer asked."""
+        may_count = self.settings.may_count and not restrictor.soft()
+        if not may_count or not restrictor.sparse(request.units, self.settings.meter_period > 0):
+            return self._own_bucket(now, request, restrictor)
+        if now < restrictor.full_till:
+            return Refused(request, Reason.QUOTA_COUNTED, restrictor.full_till - now)
+        if not self.shared.covers(now, request, restrictor):
+            return self._own_bucket(now, request, restrictor)
+        if calls := self.shared.call(now, request, restrictor):
+            return Pending(tuple(calls))
+        return self._own_bucket(now, request, restrictor, counted=0.0)
+
+    def reply(self, now: float, event: api.CounterReply) -> Decision | None:
+        """Decides by the shared bucket's total; without one in time this gateway's own bucket decides."""
+        if (call := self.shared.reply(now, event)) is None:
+            return None
+        request, restrictor = call.request, call.restrictor
+        if request is None:
+            return Pending(tuple(self.shared.undo(now, event, call)))
+        restrictor.drain(now)
+        if call.bucket.pool:
+            return self._pool_reply(now, event, call)
+        if not event.ok or not math.isfinite(event.total):
+            restrictor.uncounted += 0.0 if event.maybe_added else call.amount
+            restrictor.uncounted -= request.units  # put back when it is let in
+            return self._own_bucket(now, request, restrictor)
+        wait, calls = self.shared.settle(now, event, call)
+        if not wait:
+            return Admitted(request, restrictor, counted=request.units, actions=tuple(calls))
+        restrictor.full_till = now + wait
+        return Refused(request, Reason.QUOTA_COUNTED, wait, tuple(calls))
+
+    def over_ceiling(self, now: float, admitted: Admitted) -> Refused | Pending | None:
+        """What keeps back a request within its quota: this gateway's part of the ceiling, then the pool."""
+        request, restrictor = admitted.request, admitted.restrictor
+        if admitted.pooled or not (wait := restrictor.ceiling_wait(request.units)):
+            return None
+        if now < restrictor.pool_till:
+            wait = restrictor.pool_till - now
+        elif calls := self.shared.call_pool(now, request, restrictor, admitted.counted):
+            return Pending(tuple(calls))
+        self.withdraw(admitted)
+        return Refused(request, Reason.CEILING, wait)
+
+    def charge(self, admitted: Admitted) -> None:
+        """Takes the request's units, once a server has been chosen for it."""
+        admitted.restrictor.charge(admitted.request.units, admitted.counted is not None, admitted.pooled)
+
+    def withdraw(self, admitted: Admitted) -> None:
+        """Has the next call take back units that were counted: the request is refused after all."""
+        admitted.restrictor.uncounted -= admitted.counted or 0.0
+
+    def leave(self, request: str) -> None:
+        """The client has left: no reply decides on its request any more."""
+        self.shared.leave(request)
+
+    def overdue(self, now: float) -> list[api.CounterReply]:
+        """Failed replies in place of lost ones: a lost reply must not lose the request."""
+        return [api.CounterReply(name, False, 0.0) for name in self.shared.overdue(now)]
+
+    def step(self, now: float) -> None:
+        """Sets all leak rates, once in STEP seconds, and drops the restrictors of idle customers."""
+        for customer, restrictor in list(self.restrictors.items()):
+            restrictor.step(now)
+            if now - restrictor.seen_at > IDLE and not (restrictor.open or restrictor.fill):
+                del self.restrictors[customer]
+
+    def _own_bucket(
+        self, now: float, request: api.Request, restrictor: Restrictor, counted: float | None = None
+    ) -> Decision:
+        wait = restrictor.wait(request.units)
+        if wait or restrictor.spent(now):
+            return Refused(request, Reason.QUOTA, wait or STEP)
+        return Admitted(request, restrictor, counted)
+
+    def _pool_reply(self, now: float, event: api.CounterReply, call: PendingCall) -> Decision:
+        """Lets in what the pool of the ceiling holds; without a total nothing is known to be left."""
+        assert call.request
+        wait, calls = STEP, Calls()
+        if event.ok and math.isfinite(event.total):
+            wait, calls = self.shared.settle(now, event, call)
+            call.restrictor.pool_till = now + wait
+        admitted = Admitted(call.request, call.restrictor, call.counted, True, tuple(calls))
+        if not wait:
+            return admitted
+        self.withdraw(admitted)
+        return Refused(call.request, Reason.CEILING, wait, tuple(calls))
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -1,7 +1,6 @@
 """All decisions of the gateway. The types it takes and gives are in coralvale/interface.py.
 
-Ordinary path of a request: the customer's leaky bucket (NICC ND1621, clause 5 and figure 4), the guards, a
-server. Exception: a customer of whom this gateway sees too little has its bucket on the counter (`_ask`).
+Path of a request: admission by its customer's quota, the guards, the customer's ceiling, a server.
 """
 
 from __future__ import annotations
@@ -11,14 +10,13 @@
 from typing import Any
 
 from coralvale import interface as api
+from coralvale.admission import Admission
 from coralvale.health import LOST, NEWS, SILENCE, Host
 from coralvale.interface import Outcome, Repeat
 from coralvale.restrictor import QUIET, STEP, Restrictor
-from coralvale.shared import Ask, Shared
-from coralvale.state import Attempt, Held, Pace, Refusals
+from coralvale.state import QUOTA_REASONS, Admitted, Attempt, Decision, Held, Pace, Reason, Refusals, Refused
 
 TICK = 0.1  # s between looks at what is overdue: well under any delay that a client would notice
-IDLE = 60.0  # s after which an idle customer's restrictor is dropped, once its bucket is empty
 FAIL_PAUSE = 0.5  # s a failing server is passed over, doubled on each failure in a row up to four
 RETRY_SHARE = 0.2  # further attempts for each request: a broad failure must not double the load
 RETRY_SAVED = 0.5  # s of own traffic that further attempts saved up in calm times may match
@@ -43,7 +41,7 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
-        self.customers, self.hosts = dict[int, Restrictor](), dict[str, Host]()
+        self.hosts: dict[str, Host] = {}
         self.warm, self.cold = list[Host](), list[Host]()
         self.near, self.few = list[Host](), list[Host]()  # those of the warm and the cold that it keeps to
         self.sort_at = -math.inf  # when a cold server becomes warm
@@ -54,8 +52,8 @@
         self.mean = sum(self.usual) / len(self.usual)
         self.done = Pace(MEMORY)
         self.retries = 1.0
-        self.shared = Shared(settings, self.random)
-        self.born, self.step_at, self.ask_at = None, 0.0, 0.0
+        self.admission = Admission(settings, self.random)
+        self.step_at, self.ask_at = 0.0, 0.0
         self.refused, self.actions = Refusals(every=10.0), list[api.Action]()
         self.answers: dict[type, Any] = {
             api.ServerList: self._list,
@@ -69,8 +67,8 @@
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         self.actions = []
-        if self.born is None:
-            self.born, self.step_at = now, now + STEP * self.random.random()
+        if self.admission.born is None:
+            self.admission.born, self.step_at = now, now + STEP * self.random.random()
             self.actions.append(api.SetTimer(0, TICK))
             if self.settings.ask_for_list:
                 self.actions.append(api.FollowList())
@@ -78,128 +76,54 @@
             answer(now, event)
         return self.actions
 
-    # A request comes: the bucket, or the counter where the bucket cannot know
+    # A request comes: admission, the guards, the ceiling, a server
 
     def _arrive(self, now: float, request: api.Request) -> None:
         self.settings.check(request)
-        plan, restrictor = self.settings.plans[request.plan], self.customers.get(request.customer)
-        if restrictor is None:
-            restrictor = Restrictor(plan, request.entry_gateways, now, self.born, self.settings.may_count)
-            self.customers[request.customer] = restrictor
-        if restrictor.plan is not plan or restrictor.entries != request.entry_gateways:
-            restrictor.drain(now)
-            restrictor.settle(plan, request.entry_gateways)
-            restrictor.rate = max(restrictor.floor, min(restrictor.rate, plan.rate))
-        restrictor.seen_at = now
-        restrictor.drain(now)
+        restrictor = self.admission.restrictor(now, request)
         if now >= request.expires_at:
-            return self._refuse(request, "too late", 0.0)
-        if not self._ask(now, request, restrictor):
-            self._bucket(now, request, restrictor)
-        restrictor.note(now, request.units)
-
-    def _bucket(
-        self, now: float, request: api.Request, restrictor: Restrictor, counted: float | None = None
-    ) -> None:
-        wait = restrictor.wait(request.units)
-        if wait or restrictor.spent(now):
-            return self._refuse(request, "quota", wait or STEP)
-        return self._admit(now, request, restrictor, counted)
-
-    def _ask(self, now: float, request: api.Request, restrictor: Restrictor) -> bool:
-        """Exception: adds a sparse customer's request to the shared bucket, holds it till the total comes."""
-        sparse = restrictor.sparse(request.units, self.settings.meter_period > 0)
-        if not self.settings.may_count or restrictor.soft() or not sparse:
-            return False
-        if now < restrictor.full_till:
-            self._refuse(request, "quota counted", restrictor.full_till - now)
-            return True
-        if not self.shared.covers(now, request, restrictor):
-            return False
-        if calls := self.shared.ask(now, request, restrictor):
-            self.actions += calls
-        else:
-            self._bucket(now, request, restrictor, counted=0.0)
-        return True
+            return self._refuse(Refused(request, Reason.TOO_LATE, 0.0))
+        self._decided(now, self.admission.decide(now, request, restrictor))
+        return restrictor.note(now, request.units)
 
     def _counted(self, now: float, event: api.CounterReply) -> None:
-        """Lets in what the shared bucket holds; without a total in time this gateway's own decides."""
-        if (ask := self.shared.reply(now, event)) is None:
-            return None
-        request, restrictor = ask.request, ask.restrictor
-        if request is None:
-            self.actions += self.shared.undo(now, event, ask)
-            return None
-        restrictor.drain(now)
-        if ask.bucket.pool:
-            return self._pooled(now, event, ask)
-        if not event.ok or not math.isfinite(event.total):
-            restrictor.uncounted += 0.0 if event.maybe_added else ask.amount
-            restrictor.uncounted -= request.units  # put back when it is let in
-            return self._bucket(now, request, restrictor)
-        wait, calls = self.shared.settle(now, event, ask)
-        self.actions += calls
-        if not wait:
-            return self._admit(now, request, restrictor, counted=request.units)
-        restrictor.full_till = now + wait
-        return self._refuse(request, "quota counted", wait)
-
-    def _pooled(self, now: float, event: api.CounterReply, ask: Ask) -> None:
-        """Lets in what the pool of the ceiling holds; without a total nothing is known to be left."""
-        assert ask.request
-        wait, calls = STEP, list[api.Action]()
-        if event.ok and math.isfinite(event.total):
-            wait, calls = self.shared.settle(now, event, ask)
-            ask.restrictor.pool_till = now + wait
-        self.actions += calls
-        if wait:
-            return self._turn_away(ask.request, ask.restrictor, ask.counted, "ceiling", wait)
-        return self._admit(now, ask.request, ask.restrictor, ask.counted, pooled=True)
-
-    # The guards, then a server
-
-    def _admit(
-        self,
-        now: float,
-        request: api.Request,
-        restrictor: Restrictor,
-        counted: float | None = None,
-        pooled: bool = False,
-    ) -> None:
-        """The guards, then a server; the shared bucket may have been told and hold units, so may the pool."""
-        if refusal := self._guard(now, request, restrictor):
-            return self._turn_away(request, restrictor, counted, *refusal)
-        if not pooled and (wait := restrictor.ceiling_wait(request.units)):
-            if now < restrictor.pool_till:
-                return self._turn_away(request, restrictor, counted, "ceiling", restrictor.pool_till - now)
-            if calls := self.shared.overflow(now, request, restrictor, counted):
-                self.actions += calls
-                return None
-            return self._turn_away(request, restrictor, counted, "ceiling", wait)
+        if decision := self.admission.reply(now, event):
+            self._decided(now, decision)
+
+    def _decided(self, now: float, decision: Decision) -> None:
+        """Carries on with what admission has decided; if it is pending, the counter's reply will tell."""
+        self.actions += decision.actions
+        if isinstance(decision, Refused):
+            self._refuse(decision)
+        elif isinstance(decision, Admitted):
+            self._admit(now, decision)
+
+    def _admit(self, now: float, admitted: Admitted) -> None:
+        """Sends a request that is within its quota, if guards and ceiling let it pass."""
+        request = admitted.request
+        if refused := self._guard(now, request, admitted.restrictor):
+            self.admission.withdraw(admitted)
+            return self._refuse(refused)
+        if decision := self.admission.over_ceiling(now, admitted):
+            return self._decided(now, decision)
         self._sort(now)
         if (host := self._pick_cold(now) or self._pick(now)) is None:
-            return self._turn_away(request, restrictor, counted, "no server", STEP)
-        restrictor.charge(request.units, counted is not None, pooled)
+            self.admission.withdraw(admitted)
+            return self._refuse(Refused(request, Reason.NO_SERVER, STEP))
+        self.admission.charge(admitted)
         self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
-        self.requests[request.id] = Held(request, now, restrictor, pooled=pooled)
-        return self._send(now, self.requests[request.id], host)
-
-    def _turn_away(
-        self, request: api.Request, restrictor: Restrictor, counted: float | None, reason: str, wait: float
-    ) -> None:
-        """Refuses what the customer's bucket let in: units that were counted are taken back."""
-        restrictor.uncounted -= counted or 0.0
-        self._refuse(request, reason, wait)
-
-    def _guard(self, now: float, request: api.Request, restrictor: Restrictor) -> tuple[str, float] | None:
-        """Why a request that its bucket lets in is refused all the same, and for how long."""
+        self.requests[request.id] = held = Held(request, now, admitted.restrictor, pooled=admitted.pooled)
+        return self._send(now, held, host)
+
+    def _guard(self, now: float, request: api.Request, restrictor: Restrictor) -> Refused | None:
+        """Why a request that is within its quota is refused all the same, and for how long."""
         usual = self.usual[request.cls]
         if restrictor.open_full():
-            return "open limit", usual
+            return Refused(request, Reason.OPEN_LIMIT, usual)
         if request.expires_at - now < usual / 2:  # an answer would hardly come in time
-            return "too late", usual
+            return Refused(request, Reason.TOO_LATE, usual)
         if wait := self._pressed(now, request):
-            return "pressed", wait
+            return Refused(request, Reason.PRESSED, wait)
         return None
 
     def _pressed(self, now: float, request: api.Request) -> float:
@@ -313,12 +237,13 @@
 
     # Attempts and answers
 
-    def _refuse(self, request: api.Request, reason: str, wait: float) -> None:
-        self.refused.note(reason)
-        if reason.startswith("quota"):  # another of the customer's gateways may have room, and in time
-            wait = min(wait, self.settings.classes[request.cls].aim * SOON)
+    def _refuse(self, refused: Refused) -> None:
+        self.refused.note(refused.reason)
+        wait, cls = refused.wait, self.settings.classes[refused.request.cls]
+        if refused.reason in QUOTA_REASONS:  # another of the customer's gateways may have room, and in time
+            wait = min(wait, cls.aim * SOON)
         advice = min(wait, self.settings.longest_advice)
-        self.actions.append(api.Refuse(request.id, advice))
+        self.actions.append(api.Refuse(refused.request.id, advice))
 
     def _send(self, now: float, held: Held, host: Host) -> None:
         host.out[held.request.id, len(held.attempts)] = now
@@ -343,7 +268,7 @@
                 held.restrictor.refund(held.request.units, held.pooled)
 
     def _leave(self, now: float, event: api.Abandoned | api.StreamStarted) -> None:
-        self.shared.leave(event.request)
+        self.admission.leave(event.request)
         if held := self.requests.get(event.request):
             self._close(event.request, held)
 
@@ -375,7 +300,7 @@
         cls = self.settings.classes[held.request.cls]
         harmless = cls.repeat is Repeat.SAFE or (cls.repeat is Repeat.KEYED and cls.group is api.Group.ALL)
         if harmless or held.maybe is None:
-            self._refuse(held.request, "attempts used up", self.usual[held.request.cls])
+            self._refuse(Refused(held.request, Reason.ATTEMPTS_USED_UP, self.usual[held.request.cls]))
         else:
             self.actions.append(api.Fail(event.request))
         self._close(event.request, held)
@@ -424,12 +349,9 @@
             self.ask_at = 0.0
             self.actions.append(api.FollowList() if self.settings.ask_for_list else api.FetchList())
         self.calm = [c * (1 + 0.01 * TICK) for c in self.calm]
-        for name in self.shared.overdue(now):  # a lost reply must not lose the request
-            self._counted(now, api.CounterReply(name, False, 0.0))
+        for reply in self.admission.overdue(now):
+            self._counted(now, reply)
         if now >= self.step_at:
             self.step_at += STEP
             self._settle()
-            for name, restrictor in list(self.customers.items()):
-                restrictor.step(now)
-                if now - restrictor.seen_at > IDLE and not (restrictor.open or restrictor.fill):
-                    del self.customers[name]
+            self.admission.step(now)
--- a/coralvale/shared.py
+++ b/coralvale/shared_quota.py
@@ -16,20 +16,21 @@
 from coralvale import interface as api
 from coralvale.restrictor import SLACK, Restrictor
 
-LIFE = 50.0  # s that a number serves: each new one starts with a full burst, and none lives past 60
-START = 0.75  # trust at the start: all gateways may start at once
-ALL = 1.0  # trust from which on all customers are counted
-EACH = 2.0  # trust from which on each request is asked about, and not a sample of the small ones
-BORNE = 0.1  # mean crowding at which the trust stays as it is: some wait means that it is well used
-SWING = 1.0  # by which, for each second and unit of crowding off that, the logarithm of the trust moves
-RETURN = 4.0  # the same where it is less crowded: a counter that was lost for some seconds is soon used again
-RECENT = 0.1  # weight of the newest call in the mean crowding: gateways that judge by single calls disagree
-FORGET = 5.0  # s in which crowding that is not seen any more is forgotten
-LEAST = 0.05  # trust however crowded it is, to see when the counter has room again
+NUMBER_LIFETIME = 50.0  # s that a number serves: each new one starts with a full burst; 60 at the most
+TRUST_START = 0.75  # trust at the start: all gateways may start at once
+TRUST_ALL = 1.0  # trust from which on all customers are counted
+TRUST_EACH = 2.0  # trust from which on each request is asked about, and not a sample of the small ones
+CONGESTION_BORNE = 0.1  # mean at which the trust stays as it is: some wait means that it is well used
+TRUST_SWING = 1.0  # by which, for each second and unit of crowding off that, the logarithm of the trust moves
+TRUST_RETURN = 4.0  # the same where it is less crowded: a counter that was lost is soon used again
+CONGESTION_WEIGHT = 0.1  # of the newest call in the mean: gateways that judge by single calls disagree
+CONGESTION_MEMORY = 5.0  # s in which crowding that is not seen any more is forgotten
+TRUST_LEAST = 0.05  # trust however crowded it is, to see when the counter has room again
 POOLS = 1 << 33  # past all customers' numbers
 GOLDEN = (math.sqrt(5) - 1) / 2  # spreads customers' numbers evenly over 0 to 1
-MEAN = 0.05  # weight of the newest request in the mean price of their plans
-DRIFT = 0.01  # share by which the least delay seen grows in a second: a counter may move
+PRICE_WEIGHT = 0.05  # weight of the newest request in the mean price of their plans
+DELAY_DRIFT = 0.01  # share by which the least delay seen grows in a second: a counter may move
+Calls = list[api.Action]  # calls to the counter, to be made in this order
 
 
 @dataclass(slots=True)
@@ -48,7 +49,7 @@
 
 
 @dataclass(slots=True)
-class Ask:
+class PendingCall:
     """A call that waits for its total. Without a request it fills up or takes back."""
 
     at: float
@@ -61,36 +62,36 @@
     fills: bool = False  # it fills up what an idle customer has not used
 
 
-class Shared:
+class SharedQuota:
     """This gateway's calls to the counter: which are made, what their totals mean, how crowded it is."""
 
     def __init__(self, settings: api.Settings, lot: random.Random) -> None:
         self.settings, self.lot = settings, lot
-        self.asks: dict[int, deque[Ask]] = {}  # by name; totals of a name come in the order of its calls
-        # Up to ALL it is the share of the customers that are counted; from there on all are.
-        self.trust, self.told_at = START, -math.inf
-        self.crowded = 0.0  # mean share of the way from the least delay to the time-out that calls take
-        self.least = math.inf  # s that a call takes when nobody else is served
-        self.value = 0.0  # mean price of the plans of requests that a call may decide on
+        self.pending: dict[int, deque[PendingCall]] = {}  # by name, in the order in which totals come
+        # Up to TRUST_ALL it is the share of the customers that are counted; from there on all are.
+        self.trust, self.updated_at = TRUST_START, -math.inf
+        self.congestion = 0.0  # mean share of the way from the least delay to the time-out that calls take
+        self.least_delay = math.inf  # s that a call takes when nobody else is served
+        self.mean_price = 0.0  # mean price of the plans of requests that a call may decide on
 
     # Calls
 
     def covers(self, now: float, request: api.Request, restrictor: Restrictor) -> bool:
         """Whether the customer is counted, if the request can wait for a reply."""
-        most, since = self.settings.counter_timeout, min(1.0, now - self.told_at)
-        since = 0.0 if self.told_at == -math.inf else since
-        self.told_at = now
-        swing = SWING if self.crowded > BORNE else RETURN
-        self.trust *= math.exp(swing * since * (BORNE - self.crowded))
-        self.trust = max(LEAST, min(EACH, self.trust))
-        self.crowded *= math.exp(-since / FORGET)  # one that is not asked shows nothing
-        self.least *= 1 + DRIFT * since
+        most, since = self.settings.counter_timeout, min(1.0, now - self.updated_at)
+        since = 0.0 if self.updated_at == -math.inf else since
+        self.updated_at = now
+        swing = TRUST_SWING if self.congestion > CONGESTION_BORNE else TRUST_RETURN
+        self.trust *= math.exp(swing * since * (CONGESTION_BORNE - self.congestion))
+        self.trust = max(TRUST_LEAST, min(TRUST_EACH, self.trust))
+        self.congestion *= math.exp(-since / CONGESTION_MEMORY)  # one that is not asked shows nothing
+        self.least_delay *= 1 + DELAY_DRIFT * since
         value = restrictor.plan.price
-        self.value += MEAN * (value - self.value) if self.value else value
+        self.mean_price += PRICE_WEIGHT * (value - self.mean_price) if self.mean_price else value
         # Where not all calls can be made, some customers are counted whole, by all of their gateways alike:
         # a bucket that is told of a part of the use is no better than none.
         in_time = request.expires_at - now > 4 * most
-        return in_time and request.customer * GOLDEN % 1 * self.value < self.trust / ALL * value
+        return in_time and request.customer * GOLDEN % 1 * self.mean_price < self.trust * value
 
     def chance(self, units: float) -> float:
         """How likely a request of a counted customer is asked about: in a crowd, by its size.
@@ -98,9 +99,9 @@
         Most requests are small and most units are in large ones, so this spares most calls and few units.
         """
         share = min(1.0, units / self.settings.most_units) if self.settings.most_units < math.inf else 1.0
-        return min(1.0, share + (1 - share) * max(0.0, self.trust - ALL) / (EACH - ALL))
+        return min(1.0, share + (1 - share) * max(0.0, self.trust - TRUST_ALL) / (TRUST_EACH - TRUST_ALL))
 
-    def ask(self, now: float, request: api.Request, restrictor: Restrictor) -> list[api.Action]:
+    def call(self, now: float, request: api.Request, restrictor: Restrictor) -> Calls:
         """The call that shall decide on a counted customer's request, if it is drawn to be asked about."""
         chance = self.chance(request.units)
         if chance < 1 and self.lot.random() >= chance:
@@ -110,81 +111,81 @@
         # Those that are not asked about pass by the gateways' own buckets: the one that is stands for them.
         others = request.units / chance - request.units
         amount, restrictor.uncounted = request.units + others + restrictor.uncounted, 0.0
-        return [self._call(Ask(now, bucket, amount, restrictor, request, others=others))]
+        return [self._enqueue(PendingCall(now, bucket, amount, restrictor, request, others=others))]
 
-    def overflow(
+    def call_pool(
         self, now: float, request: api.Request, restrictor: Restrictor, counted: float | None
-    ) -> list[api.Action]:
+    ) -> Calls:
         """The call that takes a request's units from the pool of a ceiling, if there is one."""
         if not restrictor.pool[0] or request.expires_at - now <= 4 * self.settings.counter_timeout:
             return []
         name, began = self._number(now, request.customer + POOLS)
         bucket = Bucket(name, began, *restrictor.pool, pool=True)
-        return [self._call(Ask(now, bucket, request.units, restrictor, request, counted=counted))]
+        return [self._enqueue(PendingCall(now, bucket, request.units, restrictor, request, counted=counted))]
 
     def _number(self, now: float, key: int) -> tuple[int, float]:
         """The number that serves a customer now, and when it began; not all begin at once."""
-        place = now / LIFE + key % 97 / 97
-        return key << 24 | int(place) & 0xFFFFFF, now - place % 1 * LIFE
+        place = now / NUMBER_LIFETIME + key % 97 / 97
+        return key << 24 | int(place) & 0xFFFFFF, now - place % 1 * NUMBER_LIFETIME
 
-    def _call(self, ask: Ask) -> api.Count:
-        self.asks.setdefault(ask.bucket.name, deque()).append(ask)
-        return api.Count(ask.bucket.name, ask.amount, 60.0)
+    def _enqueue(self, call: PendingCall) -> api.Count:
+        self.pending.setdefault(call.bucket.name, deque()).append(call)
+        return api.Count(call.bucket.name, call.amount, 60.0)
 
     # Replies
 
-    def reply(self, now: float, event: api.CounterReply) -> Ask | None:
+    def reply(self, now: float, event: api.CounterReply) -> PendingCall | None:
         """The call that a reply is to; every one tells how crowded the counter is."""
-        if not (asks := self.asks.get(event.name)):
+        if not (calls := self.pending.get(event.name)):
             return None
-        ask = asks.popleft()
-        if not asks:
-            del self.asks[event.name]
-        crowded, most = 1.0, max(self.settings.counter_timeout, 1e-3)
+        call = calls.popleft()
+        if not calls:
+            del self.pending[event.name]
+        congestion, most = 1.0, max(self.settings.counter_timeout, 1e-3)
         if event.ok:
             # Late replies tell of a crowded counter before it fails; calls that fail only crowd it more.
-            took = min(now - ask.at, most)
-            self.least = min(self.least, took)
-            crowded = (took - self.least) / max(most - self.least, 1e-3)
-        self.crowded += RECENT * (crowded - self.crowded)
-        return ask
+            took = min(now - call.at, most)
+            self.least_delay = min(self.least_delay, took)
+            congestion = (took - self.least_delay) / max(most - self.least_delay, 1e-3)
+        self.congestion += CONGESTION_WEIGHT * (congestion - self.congestion)
+        return call
 
-    def settle(self, now: float, event: api.CounterReply, ask: Ask) -> tuple[float, list[api.Action]]:
+    def settle(self, now: float, event: api.CounterReply, call: PendingCall) -> tuple[float, Calls]:
         """Seconds until the shared bucket has room, nought for now; and the calls that put it right."""
-        assert ask.request
-        before, calls = self._right(now, event, ask)
-        bucket, amount = ask.bucket, ask.amount - ask.others
+        assert call.request
+        before, calls = self._right(now, event, call)
+        bucket, amount = call.bucket, call.amount - call.others
         wait = max(0.0, max(0.0, before) + amount - max(bucket.most, amount)) / bucket.rate
         if wait:  # takes nothing
-            calls.append(self._call(Ask(now, bucket, -ask.request.units, ask.restrictor)))
+            calls.append(self._enqueue(PendingCall(now, bucket, -call.request.units, call.restrictor)))
         return wait, calls
 
-    def undo(self, now: float, event: api.CounterReply, ask: Ask) -> list[api.Action]:
+    def undo(self, now: float, event: api.CounterReply, call: PendingCall) -> Calls:
         """Takes back what another gateway filled up at the same time."""
-        twice = ask.fills and event.ok
-        if twice and ask.bucket.before(now, event.total, ask.amount) > -SLACK * ask.bucket.most / 2:
-            return [self._call(Ask(now, ask.bucket, -ask.amount, ask.restrictor))]
+        twice = call.fills and event.ok
+        if twice and call.bucket.before(now, event.total, call.amount) > -SLACK * call.bucket.most / 2:
+            return [self._enqueue(PendingCall(now, call.bucket, -call.amount, call.restrictor))]
         return []
 
-    def _right(self, now: float, event: api.CounterReply, ask: Ask) -> tuple[float, list[api.Action]]:
+    def _right(self, now: float, event: api.CounterReply, call: PendingCall) -> tuple[float, Calls]:
         """The fill ahead of a call; what an idle customer has not used must not add up."""
-        bucket = ask.bucket
-        before = bucket.before(now, event.total, ask.amount)
+        bucket = call.bucket
+        before = bucket.before(now, event.total, call.amount)
         if before >= -SLACK * bucket.most:
             return before, []
         # Neither a restart nor a lost number may refill a ceiling.
-        level = bucket.most if bucket.pool and event.total <= ask.amount * (1 + 1e-6) else 0.0
-        return level, [self._call(Ask(now, bucket, level - before, ask.restrictor, fills=True))]
+        level = bucket.most if bucket.pool and event.total <= call.amount * (1 + 1e-6) else 0.0
+        return level, [self._enqueue(PendingCall(now, bucket, level - before, call.restrictor, fills=True))]
 
     def leave(self, request: str) -> None:
         """A client has left: its call's reply decides nothing any more."""
-        for ask in (a for asks in self.asks.values() for a in asks):
-            if ask.request and ask.request.id == request:
-                if not ask.bucket.pool:  # what it was added for besides has been used
-                    ask.restrictor.uncounted -= ask.request.units  # taken back with the next call
-                ask.request = None
+        for call in (c for calls in self.pending.values() for c in calls):
+            if call.request and call.request.id == request:
+                if not call.bucket.pool:  # what it was added for besides has been used
+                    call.restrictor.uncounted -= call.request.units  # taken back with the next call
+                call.request = None
 
     def overdue(self, now: float) -> list[int]:
         """Names of calls whose reply was lost: their requests must not wait for it."""
         most = 2 * self.settings.counter_timeout
-        return [name for name, asks in self.asks.items() if now - asks[0].at > most]
+        return [name for name, calls in self.pending.items() if now - calls[0].at > most]
--- a/coralvale/state.py
+++ b/coralvale/state.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Any
 
 from coralvale import interface as api
@@ -47,14 +48,61 @@
     sent: bool = False  # an attempt was sent, as far as is known
 
 
+class Reason(StrEnum):
+    """Why a request is refused, in the words of the log line."""
+
+    ATTEMPTS_USED_UP = "attempts used up"
+    CEILING = "ceiling"
+    NO_SERVER = "no server"
+    OPEN_LIMIT = "open limit"
+    PRESSED = "pressed"
+    QUOTA = "quota"  # by this gateway's own bucket
+    QUOTA_COUNTED = "quota counted"  # by the shared bucket
+    TOO_LATE = "too late"
+
+
+QUOTA_REASONS = (Reason.QUOTA, Reason.QUOTA_COUNTED)
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request is within its quota; nothing is charged yet."""
+
+    request: api.Request
+    restrictor: Any  # the customer's
+    counted: float | None = None  # units that the shared bucket holds for it, if it was told
+    pooled: bool = False  # the pool of the ceiling holds its units
+    actions: tuple[api.Action, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request is refused, with the seconds after which it may be worth another try."""
+
+    request: api.Request
+    reason: Reason
+    wait: float
+    actions: tuple[api.Action, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """Nothing is decided on a request at this time; the actions are calls to the counter."""
+
+    actions: tuple[api.Action, ...]
+
+
+Decision = Admitted | Refused | Pending
+
+
 class Refusals:
     """Counts refusals by reason for the log line that on-call staff read."""
 
     def __init__(self, every: float) -> None:
         self.every, self.due = every, math.inf
-        self.counts: dict[str, int] = {}
+        self.counts: dict[Reason, int] = {}
 
-    def note(self, reason: str) -> None:
+    def note(self, reason: Reason) -> None:
         self.counts[reason] = self.counts.get(reason, 0) + 1
 
     def lines(self, now: float) -> list[api.Action]:
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -6,14 +6,14 @@
 from helpers import PLAN, Bench
 
 from coralvale import interface as api
-from coralvale.shared import EACH, LIFE
+from coralvale.shared_quota import NUMBER_LIFETIME, TRUST_EACH
 
 MANY = 40  # gateways of a customer's set
 
 
 def counting(**more: object) -> Bench:
     bench = Bench(gateways=100, may_count=True, counter_timeout=0.05, **more)
-    bench.gateway.shared.trust = 1.0
+    bench.gateway.admission.shared.trust = 1.0
     return bench
 
 
@@ -105,11 +105,11 @@
 
 
 def test_what_two_gateways_fill_up_at_once_is_taken_back() -> None:
-    benches, calls, total = fleet(2, now=1000.0 + 0.9 * LIFE), [], 0.0
+    benches, calls, total = fleet(2, now=1000.0 + 0.9 * NUMBER_LIFETIME), [], 0.0
     for bench in benches:
         total += ask(bench, customer=97)[1].amount
     for bench in benches:
-        (name,) = bench.gateway.shared.asks
+        (name,) = bench.gateway.admission.shared.pending
         calls += [a for a in bench.feed(api.CounterReply(name, True, total)) if isinstance(a, api.Count)]
     assert len(calls) == 2 and min(c.amount for c in calls) > PLAN.burst
     undone = []
@@ -130,10 +130,10 @@
 def test_one_that_was_counted_full_gets_nothing_by_the_own_bucket() -> None:
     bench = counting()
     _, call = ask(bench)
-    bench.feed(api.CounterReply(call.name, True, call.amount + PLAN.rate * LIFE + PLAN.burst))
+    bench.feed(api.CounterReply(call.name, True, call.amount + PLAN.rate * NUMBER_LIFETIME + PLAN.burst))
     bench.wait(12.0)  # its next request here comes no sooner
-    bench.gateway.shared.trust = 0.0
-    assert bench.gateway.customers[1].wait(1.0) == 0.0
+    bench.gateway.admission.shared.trust = 0.0
+    assert bench.gateway.admission.restrictors[1].wait(1.0) == 0.0
     assert [type(a) for a in bench.request(entry_gateways=MANY)[1]] == [api.Refuse]
 
 
@@ -152,12 +152,12 @@
     bench = counting()
     _, call = ask(bench)
     bench.feed(api.CounterReply(call.name, False, 0.0))  # turned away, and let in by the own bucket
-    bench.gateway.shared.trust = 1.0
+    bench.gateway.admission.shared.trust = 1.0
     assert ask(bench)[1].amount == 2.0
     bench = counting()
     _, call = ask(bench)
     bench.feed(api.CounterReply(call.name, False, 0.0, maybe_added=True))  # it is on the counter's line
-    bench.gateway.shared.trust = 1.0
+    bench.gateway.admission.shared.trust = 1.0
     assert ask(bench)[1].amount == 1.0
 
 
@@ -180,8 +180,8 @@
 def test_a_pool_known_to_have_no_room_is_not_asked_again_before_it_has() -> None:
     bench = counting(plans=(replace(CAPPED, excess_cost=0.0),))  # no call about the quota
     _, call = ask(bench)
-    began = bench.gateway.shared.asks[call.name][0].bucket.began
-    rate, most = bench.gateway.customers[1].pool
+    began = bench.gateway.admission.shared.pending[call.name][0].bucket.began
+    rate, most = bench.gateway.admission.restrictors[1].pool
     total = rate * (bench.now - began) + most + rate + call.amount  # a second's worth over the brim
     actions = bench.feed(api.CounterReply(call.name, True, total))
     assert [a.amount for a in actions if isinstance(a, api.Count)] == [-1.0]
@@ -219,7 +219,7 @@
     name, _ = ask(bench)
     sends = [a for a in bench.wait(0.3) if isinstance(a, api.Send)]
     assert [s.request for s in sends] == [name]
-    assert bench.gateway.shared.asks == {}
+    assert bench.gateway.admission.shared.pending == {}
 
 
 def test_a_failing_counter_is_asked_ever_less_and_again_later() -> None:
@@ -251,14 +251,14 @@
         _, call = ask(bench, customer=customer)
         bench.now += 0.03  # of the 0.05 that it may take, always
         bench.feed(api.CounterReply(call.name, True, call.amount))
-    assert bench.gateway.shared.trust == EACH
+    assert bench.gateway.admission.shared.trust == TRUST_EACH
 
 
 def test_in_a_crowd_a_sample_of_the_small_requests_stands_for_all_of_them() -> None:
-    for trust, least, most in ((1.0, 0.2, 0.3), (1.5, 0.57, 0.68), (EACH, 1.0, 1.0)):
+    for trust, least, most in ((1.0, 0.2, 0.3), (1.5, 0.57, 0.68), (TRUST_EACH, 1.0, 1.0)):
         bench, amounts = counting(most_units=4.0), list[float]()
         for customer in range(1000):
-            bench.gateway.shared.trust = trust
+            bench.gateway.admission.shared.trust = trust
             action = bench.request(customer=customer, entry_gateways=MANY)[1][0]
             if isinstance(action, api.Count):
                 amounts.append(action.amount)
@@ -286,7 +286,7 @@
     for fill, lets_in in ((PLAN.burst - 1.0, True), (PLAN.burst - 0.5, False)):
         bench = counting(most_units=4.0)
         call = sampled(bench)
-        began = bench.gateway.shared.asks[call.name][0].bucket.began
+        began = bench.gateway.admission.shared.pending[call.name][0].bucket.began
         total = call.amount + fill + PLAN.rate * (bench.now - began)
         actions = bench.feed(api.CounterReply(call.name, True, total))
         assert (api.Send in [type(a) for a in actions]) is lets_in
@@ -297,7 +297,7 @@
     for bench in fleet(3, now=100.0):
         asked = set()
         for customer in range(200):
-            bench.gateway.shared.trust = 0.3
+            bench.gateway.admission.shared.trust = 0.3
             if isinstance(bench.request(customer=customer, entry_gateways=MANY)[1][0], api.Count):
                 asked.add(customer)
         counted.append(asked)
@@ -311,7 +311,7 @@
     bench.feed(api.Abandoned(name))
     assert bench.feed(api.CounterReply(call.name, True, 1.0)) == []
     assert bench.feed(api.CounterReply(call.name, True, 1.0)) == []  # a reply that nobody waits for
-    assert bench.gateway.shared.asks == {} and bench.gateway.requests == {}
+    assert bench.gateway.admission.shared.pending == {} and bench.gateway.requests == {}
 
 
 def test_one_that_leaves_takes_back_its_own_units_and_none_that_were_used() -> None:
@@ -327,8 +327,8 @@
 
 def test_a_counter_that_was_lost_is_soon_used_again() -> None:
     bench, counter = counting(), Counter()
-    bench.gateway.shared.trust = 0.05
+    bench.gateway.admission.shared.trust = 0.05
     for customer in range(100):
         bench.wait(0.1)
         counter.serve(bench, bench.request(customer=customer, entry_gateways=MANY)[1])
-    assert bench.gateway.shared.trust > 0.5
+    assert bench.gateway.admission.shared.trust > 0.5
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -18,7 +18,7 @@
 
 
 def restrictor(bench: Bench):  # noqa: ANN201
-    return bench.gateway.customers[1]
+    return bench.gateway.admission.restrictors[1]
 
 
 def test_a_new_customer_starts_at_the_floor() -> None:
@@ -81,7 +81,7 @@
         bench.done(name)
     assert bench.gateway.requests == {}
     bench.wait(62.0)
-    assert len(bench.gateway.customers) == 0
+    assert len(bench.gateway.admission.restrictors) == 0
 
 
 def test_readings_and_units_that_are_no_amounts_are_skipped() -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -708,7 +708,7 @@
             assert (await client.ask(wrong)).status == 200
             for number in range(20):
                 assert (await client.ask(request(f"ok{number}"))).status == 200
-            (restrictor,) = w.node.gateway.customers.values()
+            (restrictor,) = w.node.gateway.admission.restrictors.values()
             assert (restrictor.plan.name, restrictor.entries) == ("team", 2)
         host.stop()
 
@@ -752,7 +752,7 @@
             entry("s-1", host.port), real=True, packages=[plan], family_info=family, n_instances=1
         ) as w:
             started, go = hold_connects(w.node.upstreams)
-            w.node.gateway.born = -math.inf  # the ceiling is full
+            w.node.gateway.admission.born = -math.inf  # the ceiling is full
             sets = {"Quota_Info": "units=1,spread=1,first=0"}
             first, second = await w.client(), await w.client()
             first.send(request("r1", **sets))
