Judge five tests of time limits in still time or by order, not by the machine's speed

- idle clients and requests that never come whole: the limit was cut to 10 ms, and four connections had to speak within it.
The server's time now stands still but for the test: nothing ends at the limit, all do 1 ms past it, with the limits the program has.
- a new connection has time for its first request in a drain: 0.25 s of real time.
Now 1 ms ahead of that limit in still time.
- with short deadlines too the drain lasts: a host had to answer within 0.15 s.
Now in fake time, with the same deadlines.
- up is told once the list is there: the timer that makes the node ready without a list falls due 0.25 s after its start, in the middle of the test, and could pass it without the list.
It is now put off; the list must do it.
- a flood of connections is survived: the first client's request was left half written and had to be finished within 2 s.
It is now whole, and its host answers at the end; that half a request keeps its place is tested with the refusals that the module does not word.

--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -96,6 +96,16 @@
         loop.close()
 
 
+class StillClock:
+    """In place of the module `time`: the time that connections are judged by moves with the test only."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+
 async def soon(awaitable: Awaitable[Any]) -> Any:
     return await asyncio.wait_for(awaitable, LIMIT)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,6 +18,7 @@
     SETTINGS,
     Peer,
     Registry,
+    StillClock,
     World,
     answer,
     chunk,
@@ -26,6 +27,7 @@
     line,
     request,
     run,
+    run_jumping,
     soon,
     until,
     world,
@@ -33,8 +35,9 @@
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
+from coralvale.net.clock import Clock
 from coralvale.net.node import BEFORE, FLUSH, Held
-from coralvale.net.server import PIPELINED, Exchange
+from coralvale.net.server import PIPELINED, SETTLING, Exchange
 from coralvale.net.upstream import REST, Attempt
 
 
@@ -439,7 +442,7 @@
     return [{**c, "aim_s": seconds, "give_up_s": seconds} for c in SETTINGS["classes"]]
 
 
-def test_with_short_deadlines_too_the_drain_lasts_while_clients_come() -> None:
+def test_with_short_deadlines_too_the_drain_lasts_while_clients_come(monkeypatch: pytest.MonkeyPatch) -> None:
     """New connections come for 0.4 s after SIGTERM, whatever the longest deadline is."""
 
     async def test() -> None:
@@ -452,10 +455,11 @@
             assert (await w.ask(request())).status == 200
         host.stop()
 
-    run(test())
+    monkeypatch.setattr(Clock, "now", lambda _: 1000.0)  # a late loop must not use up the short deadline
+    run_jumping(test())
 
 
-def test_a_new_connection_has_time_for_its_first_request_in_a_drain() -> None:
+def test_a_new_connection_has_time_for_its_first_request_in_a_drain(monkeypatch: pytest.MonkeyPatch) -> None:
     """One that came in as the idle ones were closed: its request may be a moment behind it."""
 
     async def test() -> None:
@@ -466,6 +470,7 @@
             assert (await idle.ask(b"GET /up HTTP/1.1\r\n\r\n")).status == 503
             client = await w.client()
             await until(lambda: len(w.node.server.connections) == 2)
+            clock.now += SETTLING - 0.001
             for due, step in stop_by_hand(w):
                 if due <= 0.5:
                     step()
@@ -473,6 +478,8 @@
             assert (await client.ask(request())).body == b"done"
         host.stop()
 
+    clock = StillClock()
+    monkeypatch.setattr("coralvale.net.server.time", clock)
     run(test())
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -194,7 +194,7 @@
     """With 64 its own bounds hold it under the limit; where that sinks it runs out of them, and goes on."""
 
     async def test() -> None:
-        host, registry, port = await Peer(answer(body=b"served")).start(), Registry(), free_port()
+        host, registry, port = await Peer().start(), Registry(), free_port()
         await registry.start()
         more = {
             "listen": f"127.0.0.1:{port}",
@@ -208,7 +208,8 @@
         first = await up(port)
         if sockets > 64:
             resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (64, 64))
-        first.send(request("first")[:-2])  # a request under way, so that it is not closed as idle
+        first.send(request("first"))  # a request under way, so that it is not closed as idle
+        waiting = await host.next()
         flood = [Client(*await asyncio.open_connection("127.0.0.1", port)) for _ in range(150)]
         for client in flood:
             client.send(request()[:-2])
@@ -217,8 +218,11 @@
             await soon(process.stderr.readuntil(b"cannot accept"))
         for client in flood:
             client.writer.transport.abort()
-        assert (await (await up(port)).ask(request("after"))).body == b"served"
-        first.send(b"\r\n")
+        after = await up(port)
+        after.send(request("after"))
+        (await host.next()).reply(answer(body=b"served"))
+        assert (await after.receive()).body == b"served"
+        waiting.reply(answer(body=b"served"))
         assert (await first.receive()).body == b"served"
         await end(process)
         host.stop()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,9 +6,12 @@
 import socket
 
 import pytest
-from net_helpers import Client, World, entry, request, run, soon, until, world
+from net_helpers import Client, StillClock, World, entry, request, run, soon, until, world
 
 from coralvale import interface as api
+from coralvale.net.server import IDLE, PARTIAL
+
+MOMENT = 0.001  # s by which a time limit is passed
 
 
 def refuse_all(w: World) -> None:
@@ -243,16 +246,28 @@
             slow.send(request()[:-10])
             body.send(request(cls="write", Content_Length="9") + b"x")
             assert (await usual.ask(request("r1"))).status == 503
+            await until(lambda: sum(c.reading is not None for c in w.node.server.connections) == 2)
+            clock.now += PARTIAL
+            w.node.server._sweep()
+            assert len(w.node.server.connections) == 4  # their time is not over yet
+            assert not any(c.ended or c.failed for c in w.node.server.connections)
+            clock.now += MOMENT
             for client in (slow, body):  # they are told why, as nothing was taken of them
                 assert (await client.receive()).status == 408
                 assert await client.at_end()
             assert await silent.at_end()
             assert (await usual.ask(request("r2"))).status == 503  # one that asks is not hurried
-            monkeypatch.setattr("coralvale.net.server.IDLE", 0.01)
+            await until(lambda: len(w.node.server.connections) == 1)
+            clock.now += IDLE
+            w.node.server._sweep()
+            assert [c.ended for c in w.node.server.connections] == [False]
+            clock.now += MOMENT
             assert await usual.at_end()
             assert len(w.script.of(api.Request)) == 2
 
-    for name in ("PARTIAL", "SWEEP", "LINGER"):
+    clock = StillClock()
+    monkeypatch.setattr("coralvale.net.server.time", clock)
+    for name in ("SWEEP", "LINGER"):
         monkeypatch.setattr(f"coralvale.net.server.{name}", 0.01)
     run(test())
 
@@ -331,7 +346,7 @@
     run(test())
 
 
-def test_up_is_told_once_the_list_is_there() -> None:
+def test_up_is_told_once_the_list_is_there(monkeypatch: pytest.MonkeyPatch) -> None:
     async def up(client: Client) -> int:
         return (await client.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")).status
 
@@ -346,6 +361,7 @@
             await until(lambda: w.node.ready)
             assert await up(client) == 200
 
+    monkeypatch.setattr("coralvale.net.node.READY", 60.0)  # it is the list that makes it ready
     run(test())
 
 
