--- /dev/null
+++ b/testbed/quota/services.py
@@ -0,0 +1,116 @@
+"""The services that gateways can learn of each other's traffic from, and the true quota stores."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+METER_READINGS_KEPT = 64  # periods of a customer that the meter remembers, well past its lateness
+
+
+@dataclass(slots=True)
+class QuotaStore:
+    """The true token store of one customer over all gateways (units; rate in units a second)."""
+
+    rate: float
+    burst: float
+    level: float
+    open_limit: float = 0.0
+    updated_at: float = 0.0
+    open: int = 0
+
+    def level_at(self, now: float) -> float:
+        """The units in the store at a time, without taking any."""
+        return min(self.burst, self.level + self.rate * (now - self.updated_at))
+
+    def take(self, now: float, units: float) -> bool:
+        """Takes a request's units if the store holds them; says whether the request was inside its quota."""
+        self.level = self.level_at(now)
+        self.updated_at = now
+        if self.rate and self.level < units - 1e-9:
+            return False
+        if self.open_limit and self.open >= self.open_limit:
+            return False
+        if self.rate:
+            self.level -= units
+        return True
+
+    def settle(self, units: float) -> None:
+        """Takes the difference between true and guessed units; the level may fall below zero."""
+        self.level -= units
+
+
+@dataclass(slots=True)
+class CounterPart:
+    """One part of the counter: calls are served in turn by one server with a bounded queue."""
+
+    service_time: float
+    queue_limit: float
+    free_at: float = 0.0
+
+    def serve(self, now: float) -> float | None:
+        """When a call that arrives now is answered; None if the queue is too long."""
+        start = max(now, self.free_at)
+        if start - now > self.queue_limit:
+            return None
+        self.free_at = start + self.service_time
+        return self.free_at
+
+
+class CounterService:
+    """Named totals, spread by name over parts that each serve so many calls a second."""
+
+    def __init__(self, parts: int, calls_per_second: float, extra_delay: float, queue_limit: float) -> None:
+        self.parts = [CounterPart(parts / calls_per_second, queue_limit) for _ in range(parts)]
+        self.extra_delay = extra_delay
+        self.totals: dict[int, float] = {}
+        self.expiry: dict[int, float] = {}
+        self.calls = 0
+        self.turned_away = 0
+
+    def add(self, now: float, name: int, amount: float, lifetime: float) -> tuple[float, float | None]:
+        """Adds an amount; returns the time of the answer and the total, or None if turned away."""
+        self.calls += 1
+        answered_at = self.parts[hash(name) % len(self.parts)].serve(now)
+        if answered_at is None:
+            self.turned_away += 1
+            return now, None
+        if self.expiry.get(name, -math.inf) <= now:
+            self.totals[name] = 0.0
+            self.expiry[name] = now + lifetime
+        self.totals[name] += amount
+        return answered_at + self.extra_delay, self.totals[name]
+
+
+@dataclass(slots=True)
+class Meter:
+    """One customer's use by periods, readable only after a delay (both in seconds)."""
+
+    period: float
+    delay: float
+    current: int = 0
+    units: float = 0.0
+    finished: deque[tuple[int, float]] = field(default_factory=lambda: deque(maxlen=METER_READINGS_KEPT))
+
+    def note(self, now: float, units: float) -> None:
+        """Adds units that were sent on now."""
+        if not self.period:
+            return
+        self._advance(now)
+        self.units += units
+
+    def read(self, now: float, rate: float) -> float:
+        """Use in the last period whose sum is known, as a fraction of the rate."""
+        self._advance(now)
+        wanted = int((now - self.delay) / self.period) - 1
+        for index, units in reversed(self.finished):
+            if index <= wanted:
+                return units / (rate * self.period) if index == wanted else 0.0
+        return 0.0
+
+    def _advance(self, now: float) -> None:
+        index = int(now / self.period)
+        if index != self.current:
+            self.finished.append((self.current, self.units))
+            self.current, self.units = index, 0.0
