--- a/testbed/quota/services.py
+++ b/testbed/quota/services.py
@@ -1,4 +1,4 @@
-"""The services that gateways can learn of each other's traffic from, and the true quota stores."""
+"""The services that tell gateways of each other's traffic, and the true quota stores."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+ROUNDING = 1e-9  # units that a store may lack through rounding
 METER_READINGS_KEPT = 64  # periods of a customer that the meter remembers, well past its lateness
 
 
@@ -16,7 +17,7 @@
     rate: float
     burst: float
     level: float
-    open_limit: float = 0.0
+    open_limit: float = 0.0  # attempts out at once; 0 means no limit
     updated_at: float = 0.0
     open: int = 0
 
@@ -28,14 +29,18 @@
         """Takes a request's units if the store holds them; says whether the request was inside its quota."""
         self.level = self.level_at(now)
         self.updated_at = now
-        if self.rate and self.level < units - 1e-9:
-            return False
-        if self.open_limit and self.open >= self.open_limit:
+        if not self.would_hold(now, units):
             return False
         if self.rate:
             self.level -= units
         return True
 
+    def would_hold(self, now: float, units: float) -> bool:
+        """Whether a request of so many units would be inside the quota now."""
+        if self.open_limit and self.open >= self.open_limit:
+            return False
+        return not self.rate or self.level_at(now) >= units - ROUNDING
+
     def settle(self, units: float) -> None:
         """Takes the difference between true and guessed units; the level may fall below zero."""
         self.level -= units
@@ -58,29 +63,37 @@
         return self.free_at
 
 
-class CounterService:
-    """Named totals, spread by name over parts that each serve so many calls a second."""
+@dataclass(frozen=True, slots=True)
+class CounterAnswer:
+    """When a call is answered (s, on the counter's side) and the total; no total if it was turned away."""
+
+    at: float
+    total: float | None
+
+
+class Counter:
+    """Named totals, spread by name over parts that serve `calls_per_second` together (times in seconds)."""
 
-    def __init__(self, parts: int, calls_per_second: float, extra_delay: float, queue_limit: float) -> None:
+    def __init__(self, parts: int, calls_per_second: float, delay: float, queue_limit: float) -> None:
         self.parts = [CounterPart(parts / calls_per_second, queue_limit) for _ in range(parts)]
-        self.extra_delay = extra_delay
+        self.delay = delay
         self.totals: dict[int, float] = {}
         self.expiry: dict[int, float] = {}
         self.calls = 0
         self.turned_away = 0
 
-    def add(self, now: float, name: int, amount: float, lifetime: float) -> tuple[float, float | None]:
-        """Adds an amount; returns the time of the answer and the total, or None if turned away."""
+    def add(self, now: float, name: int, amount: float, lifetime: float) -> CounterAnswer:
+        """Adds an amount to a name, which is forgotten `lifetime` after its first call."""
         self.calls += 1
-        answered_at = self.parts[hash(name) % len(self.parts)].serve(now)
-        if answered_at is None:
+        served_at = self.parts[hash(name) % len(self.parts)].serve(now)
+        if served_at is None:
             self.turned_away += 1
-            return now, None
+            return CounterAnswer(now + self.delay, None)
         if self.expiry.get(name, -math.inf) <= now:
             self.totals[name] = 0.0
             self.expiry[name] = now + lifetime
         self.totals[name] += amount
-        return answered_at + self.extra_delay, self.totals[name]
+        return CounterAnswer(served_at + self.delay, self.totals[name])
 
 
 @dataclass(slots=True)
@@ -101,7 +114,9 @@
         self.units += units
 
     def read(self, now: float, rate: float) -> float:
-        """Use in the last period whose sum is known, as a fraction of the rate."""
+        """Use in the last period whose sum is known, as a fraction of the rate; nought without a rate."""
+        if not rate or not self.period:
+            return 0.0
         self._advance(now)
         wanted = int((now - self.delay) / self.period) - 1
         for index, units in reversed(self.finished):
--- a/testbed/quota/simulation.py
+++ b/testbed/quota/simulation.py
@@ -7,12 +7,13 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from coralvale import interface as api
-from testbed.quota.deployment import Customer, Day
-from testbed.quota.report import Figures
-from testbed.quota.services import CounterService, Meter, QuotaStore
+from testbed.quota.customers import Customer
+from testbed.quota.deployment import Arrival, Day
+from testbed.quota.report import DayFigures, Figures
+from testbed.quota.services import Counter, Meter, QuotaStore
 
 HOSTS = 24  # hosts that all gateways list; the model gives them no limit, so few will do
 START_SPREAD = 1.0  # s over which the gateways start
@@ -21,7 +22,9 @@
 class Decisions(Protocol):
     """What the model needs of a gateway's decision module."""
 
-    def handle(self, now: float, event: api.Event) -> list[api.Action]: ...
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        """Takes an event at a time (s); returns the actions to carry out."""
+        ...
 
 
 @dataclass(slots=True)
@@ -29,14 +32,19 @@
     """One request of a client at one gateway; a client's retry is another."""
 
     request: api.Request
-    customer: Customer
+    arrival: Arrival
     gateway: int
     number: int
-    sent_at: float | None = None
+    sent: bool = False
+    settled: bool = False
     inside: bool = False
     ended: bool = False
     attempts: int = 0
-    true_units: float = 0.0
+
+    @property
+    def customer(self) -> Customer:
+        """Whose request it is."""
+        return self.arrival.customer
 
 
 class Simulation:
@@ -54,25 +62,23 @@
             for c in day.customers
         }
         self.meters = {c.number: Meter(day.meter_period, day.meter_delay) for c in day.customers}
-        self.counter = CounterService(
-            day.counter_parts, day.counter_calls, day.counter_delay, day.counter_queue
-        )
+        service = day.counter
+        self.counter = Counter(service.parts, service.calls_per_second, service.delay, service.longest_queue)
         self.tries: dict[str, Try] = {}
         self.now = 0.0
 
-    def run(self) -> Figures:
+    def run(self) -> DayFigures:
         """Plays the day to its end and returns its figures."""
         self._start_gateways()
         for arrival in self.day.arrivals():
-            self._at(arrival.at, self._arrive, arrival.customer, arrival.cls, arrival.units, 0)
+            self._at(arrival.at, self._arrive_first, arrival)
         end = self.day.length
         while self.queue:
             self.now, _, action, arguments = heapq.heappop(self.queue)
             if self.now > end:
                 break
             action(*arguments)
-        self.figures.counter_calls = self.counter.calls
-        return self.figures
+        return self.figures.summary()
 
     def _at(self, when: float, action: Callable[..., None], *arguments: object) -> None:
         heapq.heappush(self.queue, (when, next(self.sequence), action, arguments))
@@ -87,25 +93,38 @@
 
     # Requests
 
-    def _arrive(self, customer: Customer, cls: int, units: float, number: int) -> None:
-        gateway = self.day.entry(customer, self.now, self.random)
-        name = f"r{next(self.sequence)}"
+    def _arrive_first(self, arrival: Arrival) -> None:
+        gateway = arrival.customer.gateway(self.now, self.random, len(self.gateways))
+        self._arrive(arrival, gateway, 0)
+
+    def _arrive_again(self, arrival: Arrival, gateway: int, number: int) -> None:
+        if self.random.random() < self.day.clients.elsewhere:
+            gateway = arrival.customer.gateway(self.now, self.random, len(self.gateways))
+        self._arrive(arrival, gateway, number)
+
+    def _arrive(self, arrival: Arrival, gateway: int, number: int) -> None:
+        customer = arrival.customer
         request = api.Request(
-            id=name,
-            cls=cls,
+            id=f"r{next(self.sequence)}",
+            cls=arrival.cls,
             plan=customer.plan_index,
             customer=customer.number,
             entry_gateways=customer.spread,
-            expires_at=self.now + self.day.patience(cls, self.random),
-            units=self.day.guess(units, self.random),
-            **self.day.marks(number),
+            expires_at=self.now + self.day.patience(arrival.cls, self.random),
+            units=arrival.named,
+            **self._marks(number),
         )
-        attempt = Try(request, customer, gateway, number, true_units=units)
-        self.tries[name] = attempt
-        store = self.stores[customer.number]
-        self.figures.arrived(self.now, attempt, store.level_at(self.now))
+        attempt = Try(request, arrival, gateway, number)
+        self.tries[request.id] = attempt
+        self.figures.arrived(self.now, attempt)
         self._feed(gateway, request)
 
+    def _marks(self, number: int) -> dict[str, Any]:
+        """The mark of a retry, where clients set it and the module's requests have a field for it."""
+        if "retried" not in api.Request.__slots__:
+            return {}
+        return {"retried": self.day.clients.marks_retry and number > 0}
+
     def _feed(self, gateway: int, event: api.Event) -> None:
         for action in self.gateways[gateway].handle(self.now, event):
             self._act(gateway, action)
@@ -123,11 +142,11 @@
     def _send(self, gateway: int, attempt: Try) -> None:
         customer = attempt.customer
         store = self.stores[customer.number]
-        if attempt.sent_at is None:
-            attempt.sent_at = self.now
+        if not attempt.sent:
+            attempt.sent = True
             attempt.inside = store.take(self.now, attempt.request.units)
             self.meters[customer.number].note(self.now, attempt.request.units)
-            self.figures.sent(self.now, attempt)
+            self.figures.sent(attempt)
         store.open += 1
         delay = self.day.service_time(attempt.request.cls, self.random)
         self._at(self.now + delay, self._answer, gateway, attempt, attempt.attempts, delay)
@@ -141,51 +160,52 @@
         if self.day.meter_period:
             usage = self.meters[customer.number].read(self.now, customer.plan.rate)
             usage = round(usage * 100) / 100
-        units = None
-        if self.day.settles_after:
-            units = attempt.true_units
-            if attempt.inside:
-                store.settle(units - attempt.request.units)
+        units = self._settle(attempt)
         event = api.AttemptDone(
             attempt.request.id, number, api.Outcome.OK, delay, True, usage=usage, units=units
         )
         if not attempt.ended:
             attempt.ended = True
-            self.figures.served(self.now, attempt)
+            self.figures.served(attempt)
         self._feed(gateway, event)
 
+    def _settle(self, attempt: Try) -> float | None:
+        """The true units, where they are told afterwards; the first answer corrects the store."""
+        if not self.day.settles_after:
+            return None
+        units = attempt.arrival.units
+        if attempt.inside and not attempt.settled:
+            self.stores[attempt.customer.number].settle(units - attempt.request.units)
+        attempt.settled = True
+        return units
+
     def _refuse(self, attempt: Try, advice: float) -> None:
         if attempt.ended:
             return
         attempt.ended = True
         store = self.stores[attempt.customer.number]
-        self.figures.refused(self.now, attempt, store.level_at(self.now))
-        wait = self.day.retry_wait(attempt.number, advice, self.random)
-        if wait is None:
-            return
-        self._at(
-            self.now + wait,
-            self._arrive,
-            attempt.customer,
-            attempt.request.cls,
-            attempt.true_units,
-            attempt.number + 1,
-        )
+        self.figures.refused(attempt, store.level_at(self.now))
+        wait = self.day.clients.retry_wait(attempt.number, advice, self.random)
+        if wait is not None:
+            again = self.now + wait
+            self._at(again, self._arrive_again, attempt.arrival, attempt.gateway, attempt.number + 1)
 
     # The counter
 
     def _count(self, gateway: int, call: api.Count) -> None:
-        answered_at, total = self.counter.add(self.now, call.name, call.amount, call.lifetime)
-        deadline = self.now + self.day.counter_timeout
-        if total is None:
-            self._at(
-                self.now + self.day.counter_delay,
-                self._feed,
-                gateway,
-                api.CounterReply(call.name, False, 0.0),
-            )
+        trip = self.day.counter_trip(gateway)
+        deadline = self.now + self.day.counter.timeout
+        answer = self.counter.add(self.now, call.name, call.amount, call.lifetime)
+        answered_at = answer.at + trip
+        self.figures.counter_calls += 1
+        if answer.total is None:
+            self._reply(answered_at, gateway, api.CounterReply(call.name, False, 0.0))
         elif answered_at > deadline:
-            late = api.CounterReply(call.name, False, 0.0, maybe_added=True)
-            self._at(deadline, self._feed, gateway, late)
+            self._reply(deadline, gateway, api.CounterReply(call.name, False, 0.0, maybe_added=True))
         else:
-            self._at(answered_at, self._feed, gateway, api.CounterReply(call.name, True, total))
+            self._reply(answered_at, gateway, api.CounterReply(call.name, True, answer.total))
+
+    def _reply(self, when: float, gateway: int, reply: api.CounterReply) -> None:
+        if not reply.ok:
+            self.figures.counter_unanswered += 1
+        self._at(when, self._feed, gateway, reply)
--- /dev/null
+++ b/testbed/quota/site.py
@@ -0,0 +1,117 @@
+"""Reads a deployment's site file; a mistake in it becomes one line that names the place."""
+
+from __future__ import annotations
+
+import math
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import NamedTuple, NoReturn
+
+
+class SiteError(ValueError):
+    """A site file cannot be read, or an entry is missing or makes no sense; the message names it."""
+
+
+class Range(NamedTuple):
+    """The values that an entry may have; a plain number in the file is a range of one."""
+
+    low: float
+    high: float
+
+
+class Section:
+    """One table of a site file, whose entries are checked as they are read."""
+
+    def __init__(self, entries: Mapping[str, object], path: str) -> None:
+        self.entries = entries
+        self.path = path
+
+    def section(self, name: str) -> Section:
+        """The table of that name; SiteError if there is none."""
+        value = self.entries.get(name)
+        if not isinstance(value, Mapping):
+            self.fail(name, "a table is needed")
+        return Section(value, self._path(name))
+
+    def sections(self, name: str) -> list[Section]:
+        """The tables of that name, at least one; SiteError if there is none."""
+        value = self.entries.get(name)
+        if not isinstance(value, list) or not value or not all(isinstance(v, Mapping) for v in value):
+            self.fail(name, "one table or more is needed")
+        return [Section(v, f"{self._path(name)}[{i}]") for i, v in enumerate(value)]
+
+    def range(self, name: str, default: Range | None = None) -> Range:
+        """A number or a pair of numbers, none below 0; SiteError if it is missing and has no default."""
+        value = self.entries.get(name)
+        if value is None and default is not None:
+            return default
+        pair = value if isinstance(value, list | tuple) else (value, value)
+        if len(pair) != 2 or not all(_is_number(v) for v in pair):
+            self.fail(name, f"{_shown(value)} is no number and no pair of numbers")
+        low, high = float(pair[0]), float(pair[1])
+        if not 0 <= low <= high:
+            self.fail(name, f"{_shown(value)} is not a range from 0 up")
+        return Range(low, high)
+
+    def positive_range(self, name: str) -> Range:
+        """A range whose values are all above 0; SiteError if it is missing or holds 0."""
+        found = self.range(name)
+        if found.low <= 0:
+            self.fail(name, f"{_shown(self.entries[name])} has to be above 0")
+        return found
+
+    def number(self, name: str, default: float | None = None) -> float:
+        """One number, not below 0; SiteError if it is a range, or missing without a default."""
+        found = self.range(name, None if default is None else Range(default, default))
+        if found.low != found.high:
+            self.fail(name, f"{_shown(self.entries[name])} has to be one number")
+        return found.low
+
+    def flag(self, name: str, default: bool = False) -> bool:
+        """True or false; SiteError for anything else."""
+        value = self.entries.get(name, default)
+        if not isinstance(value, bool):
+            self.fail(name, f"{_shown(value)} is neither true nor false")
+        return value
+
+    def text(self, name: str) -> str:
+        """A text; SiteError for anything else."""
+        value = self.entries.get(name)
+        if not isinstance(value, str):
+            self.fail(name, f"{_shown(value)} is no text")
+        return value
+
+    def options(self, name: str, known: tuple[str, ...], default: str | None = None) -> tuple[str, ...]:
+        """One word or a list of words of those known; SiteError for any other."""
+        value = self.entries.get(name, default)
+        words = value if isinstance(value, list) else [value]
+        if not words or not all(isinstance(word, str) and word in known for word in words):
+            self.fail(name, f"{_shown(value)} is not of {', '.join(known)}")
+        return tuple(words)
+
+    def fail(self, name: str, reason: str) -> NoReturn:
+        """Raises a SiteError for one entry."""
+        raise SiteError(f"{self._path(name)}: {reason}")
+
+    def _path(self, name: str) -> str:
+        separator = ": " if self.path.endswith(".toml") else "."
+        return f"{self.path}{separator}{name}"
+
+
+def read_site(path: Path) -> Section:
+    """The whole site file; SiteError if it cannot be read or is no TOML."""
+    try:
+        return Section(tomllib.loads(path.read_text()), path.name)
+    except OSError as error:
+        raise SiteError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SiteError(f"{path}: {error}") from error
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+
+
+def _shown(value: object) -> str:
+    return "nothing" if value is None else repr(value)
