--- a/testbed/quota/deployment.py
+++ b/testbed/quota/deployment.py
@@ -16,7 +16,7 @@
 from coralvale import interface as api
 from testbed.quota.customers import TICK, Customer, CustomerDraw
 from testbed.quota.draws import Draw
-from testbed.quota.site import Range, Section, read_site
+from testbed.quota.site import Range, Section, SiteError, read_site
 from testbed.quota.units import RequestUnits, draw_units
 from testbed.quota.variation import Variation
 
@@ -152,7 +152,10 @@
 ) -> Day:
     """Draws a day of `length` seconds for a fleet of `gateways`; SiteError names a mistake in the file."""
     site = (variation or Variation()).applied(read_site(site_file))
-    return _DayDraw(site, seed, gateways, length).day()
+    try:
+        return _DayDraw(site, seed, gateways, length).day()
+    except api.SettingsError as error:
+        raise SiteError(f"{site_file.name}: {error}") from error
 
 
 class _DayDraw:
