--- a/testbed/quota/customers.py
+++ b/testbed/quota/customers.py
@@ -19,11 +19,12 @@
 TICK = 0.25  # s, the step of a customer's demand over time
 BURST_START = Range(4.0, 8.0)  # s into the day at which its burst begins
 BURST_LENGTH = Range(4.0, 5.5)  # s of the burst of traffic that every day has
-BURST_SIZE = Range(0.4, 0.6)  # by how much all demand rises in it
+BURST_SIZE = Range(0.4, 0.8)  # by how much all demand rises in it
 CALM_USE = Range(0.15, 0.5)  # demand of most customers, over the rate
 FULL_USE = Range(0.85, 1.0)  # demand of a customer that uses nearly all of its quota, over the rate
 SHARES = {"full": Range(0.1, 0.3), "heavy": Range(0.04, 0.12), "spiky": Range(0.1, 0.25)}
-HEAVY_USE = Range(1.6, 5.0)  # demand of a customer that asks too much all day, over the rate
+HEAVY_USE = Range(1.6, 5.0)  # demand of a customer that asks too much for most of the day, over the rate
+HEAVY_PART = Range(0.5, 1.0)  # share of the day for which it does
 SPIKE_USE = Range(2.0, 8.0)  # demand in a spike, over the rate
 SPIKE_LENGTH = Range(0.5, 5.0)  # s
 SPIKE_EVERY = Range(10.0, 25.0)  # s
@@ -39,6 +40,7 @@
 HOT_KEY_LENGTH = Range(5.0, 25.0)  # s
 HOT_KEY_START = Range(0.0, 0.5)  # share of the day after which a hot key begins
 MOST_HOT_KEYS = 3
+OWN_TROUBLES = ("hot_key", "flush")  # of which a day has one; the model does not play a flush
 
 
 @dataclass(slots=True, eq=False)
@@ -132,13 +134,19 @@
         wave: Series = 1.0 + wobble * np.sin(2 * np.pi * turns)
         if kind == "full":
             return draw.within(FULL_USE) * wave
-        if kind == "heavy":
-            return draw.within(quota.range("heavy_x", HEAVY_USE)) * wave
         use = draw.within(quota.range("calm_use", CALM_USE)) * wave
         if kind == "spiky":
             self._add_spikes(draw, use)
+        if kind == "heavy":
+            self._add_heavy_part(draw, use, wave)
         return use
 
+    def _add_heavy_part(self, draw: Draw, use: Series, wave: Series) -> None:
+        size = int(draw.within(HEAVY_PART) * self.steps)
+        start = draw.random.randint(0, self.steps - size)
+        part = slice(start, start + size)
+        use[part] = draw.within(self.quota.range("heavy_x", HEAVY_USE)) * wave[part]
+
     def _add_spikes(self, draw: Draw, use: Series) -> None:
         peak = draw.within(self.quota.range("spike_x", SPIKE_USE))
         every = draw.within(self.quota.range("spike_every_s", SPIKE_EVERY))
@@ -184,19 +192,20 @@
             customer.demand = kept + (customer.demand - kept) * (most / beyond)
 
     def _add_hot_keys(self, draw: Draw, customers: list[Customer], load: float) -> None:
-        """Where the site knows the trouble, up to three customers ask for much more for a while."""
+        """Where the day's own trouble is a hot key, up to three customers ask for much more for a while."""
         if "trouble" not in self.site.entries:
             return
-        for trouble in self.site.sections("trouble"):
-            if trouble.text("name") == "hot_key":
-                self._add_hot_key(draw, trouble, customers, load)
+        troubles = [t for t in self.site.sections("trouble") if t.text("name") in OWN_TROUBLES]
+        if troubles and (trouble := draw.random.choice(troubles)).text("name") == "hot_key":
+            self._add_hot_key(draw, trouble, customers, load)
 
     def _add_hot_key(self, draw: Draw, trouble: Section, customers: list[Customer], load: float) -> None:
-        count = min(len(customers), draw.random.randint(1, MOST_HOT_KEYS))
+        count = draw.random.randint(1, MOST_HOT_KEYS)
         extra = HOT_KEY_FACTOR * draw.within(trouble.range("size", HOT_KEY_SIZE)) * load / count
         start = draw.within(HOT_KEY_START) * self.length
         end = start + draw.within(trouble.range("len_s", HOT_KEY_LENGTH))
-        for customer in draw.random.sample(customers, count):
+        by_demand = [float(customer.demand.sum()) for customer in customers]
+        for customer in draw.random.choices(customers, by_demand, k=count):
             customer.demand[int(start / TICK) : int(end / TICK)] += extra
 
 
--- a/testbed/quota/deployment.py
+++ b/testbed/quota/deployment.py
@@ -20,7 +20,9 @@
 from testbed.quota.units import RequestUnits, draw_units
 from testbed.quota.variation import Variation
 
-TRIES = Range(4.0, 5.5)  # first tries a second and gateway inside the quotas
+TRIES = Range(3.5, 5.5)  # first tries a second and gateway inside the quotas
+CUSTOMERS = Range(3.2, 4.4)  # for each gateway; all rates of a large fleet are scaled to give so many
+INSIDE_USE = 0.5  # mean demand inside the quota, over the rate
 CAPACITY_PER_GATEWAY = 0.024  # by which the counter's calls a second grow with each gateway; 4.8 at 200
 COUNTER_QUEUE = Range(0.4, 3.0)  # longest line at a part of the counter, in time-outs
 METER_PERIOD = Range(1.0, 1.0)  # s
@@ -169,6 +171,7 @@
         self.length = length
         self._check_plans()
         self._draw_classes()
+        self.load = Draw(seed, "load").within(TRIES) * gateways * self.mean_units
         self.plans = self._plans()
         self.clients = self._clients()
         self.counter = self._counter()
@@ -180,7 +183,6 @@
         period = meter.within(self.quota.range("meter_s", METER_PERIOD))
         metered = self.quota.flag("meter")
         settles = "after" in self.quota.options("units", ("one", "class", "size", "after"))
-        load = Draw(self.seed, "load").within(TRIES) * self.gateways * self.mean_units
         customer_draw = CustomerDraw(self.site, self.plans, self.most_units, self.gateways, self.length)
         base = self._settings(period if metered else 0.0, settles)
         return Day(
@@ -192,7 +194,7 @@
             class_units=self.class_units,
             work=self.work,
             settings=[replace(base, index=i, zone=i % ZONES) for i in range(self.gateways)],
-            customers=customer_draw.customers(self.seed, load),
+            customers=customer_draw.customers(self.seed, self.load),
             clients=self.clients,
             counter=self.counter,
             settles_after=settles,
@@ -222,12 +224,24 @@
 
     def _plans(self) -> tuple[api.Plan, ...]:
         draw = Draw(self.seed, "plans")
-        sections = zip(self.site.sections("tenant"), self.quota.sections("plan"), strict=True)
-        return tuple(self._plan(tenant.text("name"), section, draw) for tenant, section in sections)
+        tenants = self.site.sections("tenant")
+        sections = self.quota.sections("plan")
+        rates = self._scaled([draw.within(section.positive_range("rate")) for section in sections])
+        return tuple(
+            self._plan(tenant.text("name"), section, rate, draw)
+            for tenant, section, rate in zip(tenants, sections, rates, strict=True)
+        )
+
+    def _scaled(self, rates: list[float]) -> list[float]:
+        """Rates (units a second) with which the load comes from as many customers as a large fleet has."""
+        shares = [tenant.positive_range("share").high for tenant in self.site.sections("tenant")]
+        loads = [self.load * share for share in shares]
+        expected = sum(load / (INSIDE_USE * rate) for load, rate in zip(loads, rates, strict=True))
+        wanted = Draw(self.seed, "scale").within(CUSTOMERS) * self.gateways
+        return [rate * expected / wanted for rate in rates]
 
-    def _plan(self, name: str, section: Section, draw: Draw) -> api.Plan:
+    def _plan(self, name: str, section: Section, rate: float, draw: Draw) -> api.Plan:
         (limits,) = section.options("limits", ("rate", "open", "both"), "rate")
-        rate = draw.within(section.positive_range("rate"))
         ceiling = draw.within(section.range("ceiling", Range(0.0, 0.0)))
         least = (4 if ceiling else 2) * self.most_units
         burst = max(least, rate * draw.within(section.range("burst_s")))
