--- a/testbed/quota/customers.py
+++ b/testbed/quota/customers.py
@@ -21,7 +21,8 @@
 BURST_LENGTH = Range(4.0, 5.5)  # s of the burst of traffic that every day has
 BURST_SIZE = Range(0.4, 0.8)  # by how much all demand rises in it
 CALM_USE = Range(0.15, 0.5)  # demand of most customers, over the rate
-FULL_USE = Range(0.85, 1.0)  # demand of a customer that uses nearly all of its quota, over the rate
+FULL_USE = Range(0.6, 1.0)  # demand of a customer that uses nearly all of its quota, over the rate
+FULL_FACTOR = 1.5  # times the site's share of such customers, as counted in plays
 SHARES = {"full": Range(0.1, 0.3), "heavy": Range(0.04, 0.12), "spiky": Range(0.1, 0.25)}
 HEAVY_USE = Range(1.6, 5.0)  # demand of a customer that asks too much for most of the day, over the rate
 HEAVY_PART = Range(0.5, 1.0)  # share of the day for which it does
@@ -37,6 +38,7 @@
 MOST_EXCESS = 0.9  # asked beyond quotas over asked inside, at most
 HOT_KEY_FACTOR = 2.5  # times the size of the trouble that customers with a hot key add to the load
 HOT_KEY_SIZE = Range(0.03, 0.25)
+HOT_KEY_MILDNESS = 0.25  # part of the size's range, from its low end, that a calm day has
 HOT_KEY_LENGTH = Range(5.0, 25.0)  # s
 HOT_KEY_START = Range(0.0, 0.5)  # share of the day after which a hot key begins
 MOST_HOT_KEYS = 3
@@ -83,6 +85,7 @@
         draw = Draw(seed, "customers")
         skew = draw.within(self.quota.range("skew", SKEW))
         shares = {kind: draw.within(self.quota.range(kind, usual)) for kind, usual in SHARES.items()}
+        shares["full"] *= FULL_FACTOR
         burst = self._burst(draw)
         found: list[Customer] = []
         for index, tenant in enumerate(self.site.sections("tenant")):
@@ -201,7 +204,9 @@
 
     def _add_hot_key(self, draw: Draw, trouble: Section, customers: list[Customer], load: float) -> None:
         count = draw.random.randint(1, MOST_HOT_KEYS)
-        extra = HOT_KEY_FACTOR * draw.within(trouble.range("size", HOT_KEY_SIZE)) * load / count
+        sizes = trouble.range("size", HOT_KEY_SIZE)
+        size = draw.within(Range(sizes.low, sizes.low + HOT_KEY_MILDNESS * (sizes.high - sizes.low)))
+        extra = HOT_KEY_FACTOR * size * load / count
         start = draw.within(HOT_KEY_START) * self.length
         end = start + draw.within(trouble.range("len_s", HOT_KEY_LENGTH))
         by_demand = [float(customer.demand.sum()) for customer in customers]
--- a/testbed/quota/deployment.py
+++ b/testbed/quota/deployment.py
@@ -20,10 +20,10 @@
 from testbed.quota.units import RequestUnits, draw_units
 from testbed.quota.variation import Variation
 
-TRIES = Range(3.5, 5.5)  # first tries a second and gateway inside the quotas
+TRIES = Range(3.2, 6.5)  # first tries a second and gateway inside the quotas
 CUSTOMERS = Range(3.2, 4.4)  # for each gateway; all rates of a large fleet are scaled to give so many
-INSIDE_USE = 0.5  # mean demand inside the quota, over the rate
-CAPACITY_PER_GATEWAY = 0.024  # by which the counter's calls a second grow with each gateway; 4.8 at 200
+INSIDE_USE = 0.55  # mean demand inside the quota, over the rate
+CAPACITY_PER_GATEWAY = Range(0.02, 0.034)  # by which the counter's calls a second grow with each gateway
 COUNTER_QUEUE = Range(0.4, 3.0)  # longest line at a part of the counter, in time-outs
 METER_PERIOD = Range(1.0, 1.0)  # s
 METER_DELAY = Range(200.0, 1500.0)  # ms
@@ -284,9 +284,10 @@
         draw = Draw(self.seed, "counter")
         timeout = self.quota.number("counter_timeout_ms", 50.0) / 1000
         calls = draw.within(self.quota.positive_range("counter_per_s"))
+        capacity = draw.within(CAPACITY_PER_GATEWAY) * self.gateways
         return CounterService(
             parts=max(1, round(draw.within(self.quota.range("counter_parts", Range(1.0, 3.0))))),
-            calls_per_second=calls * CAPACITY_PER_GATEWAY * self.gateways,
+            calls_per_second=calls * capacity,
             delay=draw.within(self.quota.range("counter_ms", Range(0.3, 2.0))) / 1000,
             longest_queue=draw.within(self.quota.range("counter_queue", COUNTER_QUEUE)) * timeout,
             timeout=timeout,
