--- a/testbed/quota/customers.py
+++ b/testbed/quota/customers.py
@@ -42,6 +42,7 @@
 HOT_KEY_LENGTH = Range(5.0, 25.0)  # s
 HOT_KEY_START = Range(0.0, 0.5)  # share of the day after which a hot key begins
 MOST_HOT_KEYS = 3
+MOST_HOT_KEY_USE = 15.0  # most that a hot key adds, over the rate; as much as any customer of the plays asked
 OWN_TROUBLES = ("hot_key", "flush")  # of which a day has one; the model does not play a flush
 
 
@@ -206,11 +207,12 @@
         count = draw.random.randint(1, MOST_HOT_KEYS)
         sizes = trouble.range("size", HOT_KEY_SIZE)
         size = draw.within(Range(sizes.low, sizes.low + HOT_KEY_MILDNESS * (sizes.high - sizes.low)))
-        extra = HOT_KEY_FACTOR * size * load / count
+        share = HOT_KEY_FACTOR * size * load / count
         start = draw.within(HOT_KEY_START) * self.length
         end = start + draw.within(trouble.range("len_s", HOT_KEY_LENGTH))
         by_demand = [float(customer.demand.sum()) for customer in customers]
         for customer in draw.random.choices(customers, by_demand, k=count):
+            extra = min(share, MOST_HOT_KEY_USE * _base_rate(customer.plan))
             customer.demand[int(start / TICK) : int(end / TICK)] += extra
 
 
