Let a counted request stand for others only while the own bucket admits them

Cause: SharedQuota.call. A request that is drawn to be asked about adds units / chance, for those like it that are not asked about. It did so also while the own bucket refuses all of these (fill over its threshold, or the shared bucket full of late), so units that nobody used kept the bucket full. Excluded: refused requests' own units, which are taken back within a round trip, and units let in uncounted (a small negative sum in the model's ledger by kind of customer).

Change: it stands for others only if the own bucket would let the request in now.

The test fails without the change (amounts of 4 in place of 1).

--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -92,6 +92,10 @@
         """Seconds until the bucket has room, 0 when it has it now."""
         return max(0.0, (self.fill + units - self.threshold(units)) / self.rate) if self.plan.rate else 0.0
 
+    def admits(self, now: float, units: float) -> bool:
+        """Whether a request that the counter is not asked about would be let in by this bucket."""
+        return not (self.wait(units) or self.spent(now))
+
     def ceiling_wait(self, units: float) -> float:
         short = units * self.entries - self.ceiling  # shares are even, so a request takes for all
         return max(0.0, short / self.ceiling_rate) if self.plan.ceiling_rate else 0.0
--- a/coralvale/shared_quota.py
+++ b/coralvale/shared_quota.py
@@ -108,8 +108,10 @@
             return []
         plan, (name, began) = restrictor.plan, self._number(now, request.customer)
         bucket = Bucket(name, began, plan.rate, plan.burst)
-        # Those that are not asked about pass by the gateways' own buckets: the one that is stands for them.
-        others = request.units / chance - request.units
+        # Those that are not asked about are decided on by the gateways' own buckets. The one that is stands
+        # for them while these let requests in: units that nobody used would keep the shared bucket full.
+        stands_for = 1 / chance - 1 if restrictor.admits(now, request.units) else 0.0
+        others = request.units * stands_for
         amount, restrictor.uncounted = request.units + others + restrictor.uncounted, 0.0
         return [self._enqueue(PendingCall(now, bucket, amount, restrictor, request, others=others))]
 
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -275,6 +275,21 @@
     return call
 
 
+def test_a_request_stands_for_no_others_while_the_own_bucket_lets_none_in() -> None:
+    bench, amounts = counting(most_units=4.0), list[float]()
+    for customer in range(100):
+        bench.gateway.admission.shared.trust = 1.0
+        bench.request(customer=customer, entry_gateways=MANY)
+        restrictor = bench.gateway.admission.restrictors[customer]
+        restrictor.fill, restrictor.uncounted = 2 * PLAN.burst, 0.0
+        action = bench.request(customer=customer, entry_gateways=MANY)[1][0]
+        assert isinstance(action, api.Count | api.Refuse)
+        if isinstance(action, api.Count):
+            amounts.append(action.amount)
+    assert len(amounts) > 10
+    assert set(amounts) == {1.0}
+
+
 def test_a_request_refused_by_the_shared_bucket_leaves_there_what_it_stands_for() -> None:
     bench = counting(most_units=4.0)
     call = sampled(bench)
