Back off from a crowded counter for a customer whose shared bucket was full

Cause: after a refusal a gateway asks again as soon as the bucket has leaked one request, as do all gateways of the set.

Change: while the counter is crowded a gateway lets a refused customer's turn pass: a quarter of the time in which its even part of the quota leaks the request, no longer than a full bucket takes to drain; not at all while the counter answers at once. It goes by the quota of the call, as a request may name another plan meanwhile.

The first test fails without the change.

--- a/coralvale/admission.py
+++ b/coralvale/admission.py
@@ -70,7 +70,7 @@
         wait, calls = self.shared.settle(now, event, call)
         if not wait:
             return Admitted(request, restrictor, counted=request.units, actions=tuple(calls))
-        restrictor.full_till = now + wait
+        restrictor.full_till = now + max(wait, self.shared.backoff(call))
         return Refused(request, Reason.QUOTA_COUNTED, wait, tuple(calls))
 
     def over_ceiling(self, now: float, admitted: Admitted) -> Refused | Pending | None:
--- a/coralvale/shared_quota.py
+++ b/coralvale/shared_quota.py
@@ -25,6 +25,7 @@
 TRUST_RETURN = 4.0  # the same where it is less crowded: a counter that was lost is soon used again
 CONGESTION_WEIGHT = 0.1  # of the newest call in the mean: gateways that judge by single calls disagree
 CONGESTION_MEMORY = 5.0  # s in which crowding that is not seen any more is forgotten
+BACKOFF = 0.25  # share of the time in which a gateway's even part of the quota leaks a refused request
 TRUST_LEAST = 0.05  # trust however crowded it is, to see when the counter has room again
 POOLS = 1 << 33  # past all customers' numbers
 GOLDEN = (math.sqrt(5) - 1) / 2  # spreads customers' numbers evenly over 0 to 1
@@ -162,6 +163,17 @@
             calls.append(self._enqueue(PendingCall(now, bucket, -call.request.units, call.restrictor)))
         return wait, calls
 
+    def backoff(self, call: PendingCall) -> float:
+        """Seconds for which a crowded counter is spared calls about a customer whose bucket was full.
+
+        All gateways of the set ask in turn, so each need not ask as often as the bucket leaks a request. No
+        longer than a full bucket takes to drain, as nothing is known of it after that.
+        """
+        assert call.request
+        crowded = min(1.0, self.congestion / CONGESTION_BORNE)
+        turn = BACKOFF * call.request.units * call.restrictor.entries
+        return crowded * min(call.bucket.most, turn) / call.bucket.rate
+
     def undo(self, now: float, event: api.CounterReply, call: PendingCall) -> Calls:
         """Takes back what another gateway filled up at the same time."""
         twice = call.fills and event.ok
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -3,10 +3,11 @@
 import math
 from dataclasses import replace
 
+import pytest
 from helpers import PLAN, Bench
 
 from coralvale import interface as api
-from coralvale.shared_quota import NUMBER_LIFETIME, TRUST_EACH
+from coralvale.shared_quota import CONGESTION_BORNE, NUMBER_LIFETIME, TRUST_EACH
 
 MANY = 40  # gateways of a customer's set
 
@@ -127,6 +128,33 @@
     assert [type(a) for a in bench.request(entry_gateways=MANY)[1]] == [api.Refuse]
 
 
+def test_a_crowded_counter_is_spared_calls_about_a_customer_that_was_refused() -> None:
+    drained = PLAN.burst / PLAN.rate
+    for congestion, backoff in ((0.0, 0.0), (CONGESTION_BORNE / 2, drained / 2), (1.0, drained)):
+        bench = counting()
+        _, call = ask(bench)
+        shared = bench.gateway.admission.shared
+        bucket = shared.pending[call.name][0].bucket
+        shared.congestion = congestion
+        full = PLAN.burst + PLAN.rate * (bench.now - bucket.began) + 0.1  # has room again in a moment
+        bench.feed(api.CounterReply(call.name, True, full))
+        refused_at = bench.now
+        shared.trust = TRUST_EACH
+        while not isinstance(bench.request(entry_gateways=MANY)[1][0], api.Count):
+            bench.now += 0.05
+            shared.trust = TRUST_EACH
+        assert bench.now - refused_at == pytest.approx(backoff, abs=0.11)
+
+
+def test_a_refusal_backs_off_by_the_quota_it_was_counted_under() -> None:
+    """A request that names a plan without a rate, by mistake, may come while the counter is asked."""
+    bench = counting(plans=(PLAN, replace(PLAN, name="open", rate=0.0, burst=0.0, open_limit=2.0)))
+    _, call = ask(bench)
+    bench.gateway.admission.shared.congestion = 1.0
+    bench.request(plan=1, entry_gateways=MANY)
+    assert api.Refuse in [type(a) for a in bench.feed(api.CounterReply(call.name, True, 1e6))]
+
+
 def test_one_that_was_counted_full_gets_nothing_by_the_own_bucket() -> None:
     bench = counting()
     _, call = ask(bench)
