--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -155,6 +155,18 @@
     assert api.Refuse in [type(a) for a in bench.feed(api.CounterReply(call.name, True, 1e6))]
 
 
+def test_a_counter_whose_line_takes_a_fifth_of_its_time_is_used_in_full() -> None:
+    bench = counting()
+    for customer in range(100):
+        bench.wait(0.1)
+        _, call = ask(bench, customer=customer)
+        bucket = bench.gateway.admission.shared.pending[call.name][0].bucket
+        bench.now += 0.001 if customer == 0 else 0.01  # of the 0.05 that it may take
+        empty = call.amount + PLAN.rate * (bench.now - bucket.began)
+        assert [type(a) for a in bench.feed(api.CounterReply(call.name, True, empty))] == [api.Send]
+    assert bench.gateway.admission.shared.trust == TRUST_EACH
+
+
 def test_one_that_was_counted_full_gets_nothing_by_the_own_bucket() -> None:
     bench = counting()
     _, call = ask(bench)
