Judge a customer's asking at small sets by Zipf's law, not by even parts

Cause: Restrictor.threshold takes what is asked here times the number of gateways for what is asked in all. A set's traffic is uneven, and a request mostly comes to a gateway that gets more than its even part, so customers that ask for little counted as heavy at the gateway that they use most.

--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -23,6 +23,15 @@
 KNOWN = 20.0  # s for which one whose shared bucket was full gets nothing by this gateway's own
 
 
+def concentration(entries: int) -> float:
+    """How many times its even part of a customer's traffic the gateway gets that a request comes to.
+
+    Customers' traffic is spread unevenly; how unevenly is not known, so by Zipf's law.
+    """
+    weights = [1 / rank for rank in range(1, entries + 1)]
+    return entries * sum(w * w for w in weights) / sum(weights) ** 2
+
+
 class Restrictor:
     """One customer's leaky bucket, its leak rate, and this gateway's share of the ceiling."""
 
@@ -48,6 +57,7 @@
         """Takes plan and set as a request names them: one that named others must not bind all that follow."""
         self.plan, self.entries = plan, max(1, entries)
         self.floor = plan.rate / self.entries
+        self.concentration = concentration(self.entries) if self.entries < WIDE else 1.0
         self.memory = ASKING_WIDE if self.entries >= WIDE else ASKING
         share = POOLED if self.may_count and self.entries >= WIDE else 0.0
         self.ceiling_rate, self.ceiling_burst = (
@@ -71,6 +81,7 @@
         # One that asks for little overall has the burst to itself, whichever gateway it comes to: a part of
         # it is a request or two, and by chance two that belong together come to the same gateway.
         asks = self.asking * math.exp((self.asked_at - self.at) / self.memory) * self.entries / rate
+        asks /= self.concentration
         if self.entries >= WIDE and self.at - self.heard_at < LASTING:
             asks = (self.told + asks) / 2  # one reading is of half a second, own requests are few
         spare = min(1.0, max(0.0, (HEAVY - asks) / (HEAVY - LIGHT)))
--- a/tests/test_restrictor.py
+++ b/tests/test_restrictor.py
@@ -77,3 +77,16 @@
     for at, reading in ((100.0, 0.0), (102.0, 0.4), (104.0, 1.2)):
         restrictor.hear(at, reading)
     assert 0.5 < restrictor.told < 0.9
+
+
+def test_one_that_asks_for_little_has_its_burst_also_at_the_gateway_that_it_comes_to_most() -> None:
+    """A gateway of four that sees 0.15 of the quota: by even parts the customer would ask for 0.6 of it."""
+    restrictor = Restrictor(PLAN, entries=4, now=0.0, born=0.0)
+    for second in range(60):
+        restrictor.drain(float(second))
+        restrictor.note(float(second), 0.15 * PLAN.rate)
+    assert restrictor.threshold(1.0) > 0.85 * PLAN.burst
+    for second in range(60, 120):
+        restrictor.drain(float(second))
+        restrictor.note(float(second), 0.5 * PLAN.rate)  # twice the quota by even parts
+    assert restrictor.threshold(1.0) < 0.3 * PLAN.burst
