Let in large requests of unknown customers by lot where going beyond is dear

Cause: Restrictor.threshold holds one request at least, so the first request of a customer passes at each of a hundred gateways, whatever its size.

Change: where the gateway knows too little (Restrictor.sparse) and no counter decides, a request up to burst / (1 + 2 x net cost) passes, or up to its plan's mean units; past that the chance falls with the third power. The doubled cost is chosen, as the price is bounded beside its cost in worth. A plan of equal requests is not touched.

--- a/coralvale/admission.py
+++ b/coralvale/admission.py
@@ -14,6 +14,9 @@
 from coralvale.shared_quota import Calls, PendingCall, SharedQuota
 from coralvale.state import Admitted, Decision, Pending, Reason, Refused
 
+RISK_AVERSION = 2.0  # times its net cost that a request beyond its quota counts, as its price is bounded too
+STEEPNESS = 3.0  # power with which the chance of a large request falls past the size that is borne
+UNITS_WEIGHT = 0.02  # of the newest request in the mean units of its plan
 IDLE = 60.0  # s after which an idle customer's restrictor is dropped, once its bucket is empty
 
 
@@ -24,6 +27,9 @@
         self.settings = settings
         self.restrictors: dict[int, Restrictor] = {}  # by customer
         self.shared = SharedQuota(settings, lot)
+        self.lot = lot
+        self.mean_units = [0.0] * len(settings.plans)  # of a request, by plan
+        self.seen = [0] * len(settings.plans)  # requests, by plan
         self.born: float | None = None  # when this gateway had its first event
 
     def restrictor(self, now: float, request: api.Request) -> Restrictor:
@@ -38,6 +44,7 @@
             restrictor.rate = max(restrictor.floor, min(restrictor.rate, plan.rate))
         restrictor.seen_at = now
         restrictor.drain(now)
+        self._learn_units(request)
         return restrictor
 
     def decide(self, now: float, request: api.Request, restrictor: Restrictor) -> Decision:
@@ -108,14 +115,36 @@
             if now - restrictor.seen_at > IDLE and not (restrictor.open or restrictor.fill):
                 del self.restrictors[customer]
 
+    def _learn_units(self, request: api.Request) -> None:
+        """Takes a request into the mean units of its plan, a plain mean until enough have come."""
+        self.seen[request.plan] += 1
+        weight = max(UNITS_WEIGHT, 1 / self.seen[request.plan])
+        self.mean_units[request.plan] += weight * (request.units - self.mean_units[request.plan])
+
     def _own_bucket(
         self, now: float, request: api.Request, restrictor: Restrictor, counted: float | None = None
     ) -> Decision:
         wait = restrictor.wait(request.units)
         if wait or restrictor.spent(now):
             return Refused(request, Reason.QUOTA, wait or STEP)
+        if counted is None and self.lot.random() >= self._chance_of_unknown(request, restrictor):
+            return Refused(request, Reason.QUOTA, STEP)
         return Admitted(request, restrictor, counted)
 
+    def _chance_of_unknown(self, request: api.Request, restrictor: Restrictor) -> float:
+        """How likely a request is let in of whose customer this gateway knows too little.
+
+        A request is beyond its quota about as often as the share of the burst that it takes: the stores of
+        all customers are at any level alike. One that is large beside the other requests of its plan, and
+        dear to let in wrongly, is let in by lot, so that smaller ones find the room.
+        """
+        plan = restrictor.plan
+        if not restrictor.sparse(request.units, self.settings.meter_period > 0):
+            return 1.0
+        net_cost = max(0.0, plan.excess_cost - plan.excess_worth)
+        borne = max(plan.burst / (1 + RISK_AVERSION * net_cost), self.mean_units[request.plan])
+        return min(1.0, borne / request.units) ** STEEPNESS
+
     def _pool_reply(self, now: float, event: api.CounterReply, call: PendingCall) -> Decision:
         """Lets in what the pool of the ceiling holds; without a total nothing is known to be left."""
         assert call.request
