Draw a lot for an unknown customer's request only where there is one to draw

Cause: Admission._own_bucket drew a random number for each request, also where the chance is 1, so all later draws of that gateway moved. The plan of that test has no cost beyond its quota, so its decisions must not change at all; excluded by that: the rule itself.

Change: no draw where the chance is 1. The test passes as it stands.

--- a/coralvale/admission.py
+++ b/coralvale/admission.py
@@ -127,7 +127,8 @@
         wait = restrictor.wait(request.units)
         if wait or restrictor.spent(now):
             return Refused(request, Reason.QUOTA, wait or STEP)
-        if counted is None and self.lot.random() >= self._chance_of_unknown(request, restrictor):
+        chance = self._chance_of_unknown(request, restrictor) if counted is None else 1.0
+        if chance < 1 and self.lot.random() >= chance:
             return Refused(request, Reason.QUOTA, STEP)
         return Admitted(request, restrictor, counted)
 
