Share the net cost beyond a quota and the full store, drop what the quota model never used

Read once more; behaviour stays as it is. A request's net cost beyond its quota was worked out in Restrictor.threshold and again in Admission: it is Plan.net_excess_cost now. The share by Zipf's law, the same for each set of a size, was summed anew for each customer: it is kept (sets under WIDE only, so seven values).

--- a/coralvale/admission.py
+++ b/coralvale/admission.py
@@ -142,8 +142,7 @@
         plan = restrictor.plan
         if not restrictor.sparse(request.units, self.settings.meter_period > 0):
             return 1.0
-        net_cost = max(0.0, plan.excess_cost - plan.excess_worth)
-        borne = max(plan.burst / (1 + RISK_AVERSION * net_cost), self.mean_units[request.plan])
+        borne = max(plan.burst / (1 + RISK_AVERSION * plan.net_excess_cost), self.mean_units[request.plan])
         return min(1.0, borne / request.units) ** STEEPNESS
 
     def _pool_reply(self, now: float, event: api.CounterReply, call: PendingCall) -> Decision:
--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -91,6 +91,11 @@
     ceiling_burst: float = 0.0
     ceiling_slack: float = 0.0
 
+    @property
+    def net_excess_cost(self) -> float:
+        """What a request beyond the quota costs more than it earns, in shares of its worth; never below 0."""
+        return max(0.0, self.excess_cost - self.excess_worth)
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import cache
 
 from coralvale import interface as api
 
@@ -23,6 +24,7 @@
 KNOWN = 20.0  # s for which one whose shared bucket was full gets nothing by this gateway's own
 
 
+@cache
 def concentration(entries: int) -> float:
     """How many times its even part of a customer's traffic the gateway gets that a request comes to.
 
@@ -76,7 +78,7 @@
     def threshold(self, units: float) -> float:
         """Burst scaled with the leak rate, one request at least; more where letting in wrongly costs less."""
         # Let in wrongly a request costs c, refused wrongly its worth; the factor is 1 where these are equal.
-        cost = max(0.0, self.plan.excess_cost - self.plan.excess_worth)
+        cost = self.plan.net_excess_cost
         rate = max(self.plan.rate, 1e-9)
         # One that asks for little overall has the burst to itself, whichever gateway it comes to: a part of
         # it is a request or two, and by chance two that belong together come to the same gateway.
--- a/testbed/quota/deployment.py
+++ b/testbed/quota/deployment.py
@@ -17,7 +17,7 @@
 from testbed.quota.customers import TICK, Customer, CustomerDraw
 from testbed.quota.draws import Draw
 from testbed.quota.site import Range, Section, SiteError, read_site
-from testbed.quota.units import RequestUnits, draw_units
+from testbed.quota.units import UNIT_RULES, RequestUnits, draw_units
 from testbed.quota.variation import Variation
 
 TRIES = Range(3.2, 6.5)  # first tries a second and gateway inside the quotas
@@ -116,8 +116,9 @@
     def arrivals(self) -> Iterator[Arrival]:
         """All first tries, customer by customer and not in order of time."""
         generator = np.random.default_rng(self.seed)
+        mean_units = self.mean_units
         for customer in self.customers:
-            counts = generator.poisson(customer.demand * TICK / self.mean_units)
+            counts = generator.poisson(customer.demand * TICK / mean_units)
             for step in np.flatnonzero(counts):
                 for _ in range(int(counts[step])):
                     yield self._arrival(generator, customer, int(step))
@@ -182,7 +183,7 @@
         meter = Draw(self.seed, "meter")
         period = meter.within(self.quota.range("meter_s", METER_PERIOD))
         metered = self.quota.flag("meter")
-        settles = "after" in self.quota.options("units", ("one", "class", "size", "after"))
+        settles = "after" in self.quota.options("units", UNIT_RULES)
         customer_draw = CustomerDraw(self.site, self.plans, self.most_units, self.gateways, self.length)
         base = self._settings(period if metered else 0.0, settles)
         return Day(
--- a/testbed/quota/report.py
+++ b/testbed/quota/report.py
@@ -55,7 +55,7 @@
     """One gateway that sees all first tries of a customer; it defines what is offered."""
 
     def __init__(self, plan: api.Plan) -> None:
-        self.store = QuotaStore(plan.rate, plan.burst, plan.burst, plan.open_limit)
+        self.store = QuotaStore.full(plan)
         self.ends: list[float] = []
 
     def admits(self, now: float, units: float, service_time: float) -> bool:
--- a/testbed/quota/services.py
+++ b/testbed/quota/services.py
@@ -6,6 +6,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from coralvale import interface as api
+
 ROUNDING = 1e-9  # units that a store may lack through rounding
 METER_READINGS_KEPT = 64  # periods of a customer that the meter remembers, well past its lateness
 
@@ -21,6 +23,11 @@
     updated_at: float = 0.0
     open: int = 0
 
+    @classmethod
+    def full(cls, plan: api.Plan) -> QuotaStore:
+        """The store of a customer of a plan as the day begins."""
+        return cls(plan.rate, plan.burst, plan.burst, plan.open_limit)
+
     def level_at(self, now: float) -> float:
         """The units in the store at a time, without taking any."""
         return min(self.burst, self.level + self.rate * (now - self.updated_at))
@@ -79,12 +86,10 @@
         self.delay = delay
         self.totals: dict[int, float] = {}
         self.expiry: dict[int, float] = {}
-        self.calls = 0
         self.turned_away = 0
 
     def add(self, now: float, name: int, amount: float, lifetime: float) -> CounterAnswer:
         """Adds an amount to a name, which is forgotten `lifetime` after its first call."""
-        self.calls += 1
         served_at = self.parts[hash(name) % len(self.parts)].serve(now)
         if served_at is None:
             self.turned_away += 1
--- a/testbed/quota/simulation.py
+++ b/testbed/quota/simulation.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Protocol
 
 from coralvale import interface as api
 from testbed.quota.customers import Customer
@@ -57,10 +57,7 @@
         self.queue: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
         self.gateways = [make(settings, seed * 4096 + i) for i, settings in enumerate(day.settings)]
         self.figures = Figures(day)
-        self.stores = {
-            c.number: QuotaStore(c.plan.rate, c.plan.burst, c.plan.burst, c.plan.open_limit)
-            for c in day.customers
-        }
+        self.stores = {c.number: QuotaStore.full(c.plan) for c in day.customers}
         self.meters = {c.number: Meter(day.meter_period, day.meter_delay) for c in day.customers}
         service = day.counter
         self.counter = Counter(service.parts, service.calls_per_second, service.delay, service.longest_queue)
@@ -112,19 +109,12 @@
             entry_gateways=customer.spread,
             expires_at=self.now + self.day.patience(arrival.cls, self.random),
             units=arrival.named,
-            **self._marks(number),
         )
         attempt = Try(request, arrival, gateway, number)
         self.tries[request.id] = attempt
         self.figures.arrived(self.now, attempt)
         self._feed(gateway, request)
 
-    def _marks(self, number: int) -> dict[str, Any]:
-        """The mark of a retry, where clients set it and the module's requests have a field for it."""
-        if "retried" not in api.Request.__slots__:
-            return {}
-        return {"retried": self.day.clients.marks_retry and number > 0}
-
     def _feed(self, gateway: int, event: api.Event) -> None:
         for action in self.gateways[gateway].handle(self.now, event):
             self._act(gateway, action)
