--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,75 @@
+"""The list of known failures: its form, and what a run of pytest makes of it."""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from known_red import KnownFailure, MalformedEntry, read_known_failures
+
+TESTS = Path(__file__).resolve().parent
+GOOD = "tests/test_a.py::test_it[1] | pytest tests/test_a.py, seed 3 | it fails | issue 7"
+
+
+def written(path: Path, *lines: str) -> Path:
+    path.write_text("\n".join(lines) + "\n")
+    return path
+
+
+def test_an_entry_names_test_command_sight_and_issue(tmp_path: Path) -> None:
+    (failure,) = read_known_failures(written(tmp_path / "list", "", GOOD))
+    assert failure == KnownFailure(
+        "tests/test_a.py::test_it[1]", "pytest tests/test_a.py, seed 3", "it fails", "issue 7"
+    )
+    assert read_known_failures(tmp_path / "missing") == []
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "tests/test_a.py::test_it | it fails | issue 7",
+        "tests/test_a.py::test_it | seed 3 |  | issue 7",
+        "test_it | seed 3 | it fails | issue 7",
+        "tests/test_a.py::test_it | seed 3 | it fails | some day",
+    ],
+)
+def test_a_malformed_entry_is_an_error_that_names_its_line(tmp_path: Path, line: str) -> None:
+    with pytest.raises(MalformedEntry, match="KNOWN-RED.txt:2: "):
+        read_known_failures(written(tmp_path / "list", GOOD, line))
+
+
+def test_a_test_is_listed_once(tmp_path: Path) -> None:
+    with pytest.raises(MalformedEntry, match="twice"):
+        read_known_failures(written(tmp_path / "list", GOOD, GOOD))
+
+
+def run_pytest(root: Path, body: str, entry: str) -> subprocess.CompletedProcess[str]:
+    """Runs a suite of one test with the list of one entry."""
+    (root / "tests").mkdir()
+    for name in ("conftest.py", "known_red.py"):
+        shutil.copy(TESTS / name, root / "tests" / name)
+    (root / "tests/test_a.py").write_text(f"def test_it():\n    {body}\n")
+    (root / "pytest.ini").write_text("[pytest]\ntestpaths = tests\n")
+    written(root / "KNOWN-RED.txt", entry)
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"]
+    return subprocess.run(command, cwd=root, capture_output=True, text=True, check=False)
+
+
+@pytest.mark.parametrize(
+    ("body", "entry", "code", "told"),
+    [
+        ("assert False", "tests/test_a.py::test_it | seed 3 | it fails | issue 7", 0, "known red (issue 7)"),
+        ("pass", "tests/test_a.py::test_it | seed 3 | it fails | issue 7", 1, "XPASS(strict)"),
+        ("assert False", "tests/test_a.py::test_it | it fails", 4, "KNOWN-RED.txt:1: "),
+        ("pass", "tests/test_a.py::test_gone | seed 3 | it fails | issue 7", 4, "no such test"),
+    ],
+)
+def test_a_run_passes_over_listed_failures_and_over_nothing_else(
+    tmp_path: Path, body: str, entry: str, code: int, told: str
+) -> None:
+    result = run_pytest(tmp_path, body, entry)
+    assert result.returncode == code, result.stdout + result.stderr
+    assert told in result.stdout + result.stderr
