--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -52,6 +52,7 @@
         self.uncounted = 0.0  # units let in here that the shared bucket has not been told of
         self.full_till = -math.inf  # until when the shared bucket is known to have no room
         self.pool_till = -math.inf  # the same for the pool of the ceiling
+        self.pool_uncounted = 0.0  # units that the pool has not been told of; below nought: to take back
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
         self.ceiling = min(self.ceiling_burst, self.ceiling_rate * (now - born))
 
