Hold a request's quota units in one record that is released once

What callers saw: a customer refused for units that nobody used, for as long as its number on the counter lived, after calls that were turned away (503, connection refused) or clients that left; or let in beyond its quota by as much.

Cause: a request's units lie in up to four places, and Admission.reply, withdraw, over_ceiling and _pool_reply, SharedQuota.settle, undo and leave, and Restrictor.charge and refund each gave back what they believed to be there.

Change: coralvale/reservation.py holds what a request has taken and where; each end of a request that was not sent on releases it, at most once. A call that may have been added is taken for added; units that a pool may lack are not taken back from it, as that could exceed a ceiling. A total below nought is a new number's too.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -100,19 +100,20 @@
 
     def _admit(self, now: float, admitted: Admitted) -> None:
         """Sends a request that is within its quota, if guards and ceiling let it pass."""
-        request = admitted.request
-        if refused := self._guard(now, request, admitted.restrictor):
-            self.admission.withdraw(admitted)
+        reservation = admitted.reservation
+        request = reservation.request
+        if refused := self._guard(now, request, reservation.restrictor):
+            reservation.release()
             return self._refuse(refused)
-        if decision := self.admission.over_ceiling(now, admitted):
+        if decision := self.admission.over_ceiling(now, reservation):
             return self._decided(now, decision)
         self._sort(now)
         if (host := self._pick_cold(now) or self._pick(now)) is None:
-            self.admission.withdraw(admitted)
+            reservation.release()
             return self._refuse(Refused(request, Reason.NO_SERVER, STEP))
-        self.admission.charge(admitted)
+        reservation.charge()
         self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
-        self.requests[request.id] = held = Held(request, now, admitted.restrictor, pooled=admitted.pooled)
+        self.requests[request.id] = held = Held(request, now, reservation)
         return self._send(now, held, host)
 
     def _guard(self, now: float, request: api.Request, restrictor: Restrictor) -> Refused | None:
@@ -248,7 +249,7 @@
     def _send(self, now: float, held: Held, host: Host) -> None:
         host.out[held.request.id, len(held.attempts)] = now
         self.busy[host] = None
-        held.restrictor.open += 1
+        held.reservation.restrictor.open += 1
         held.attempts.append(Attempt(host, now))
         self.actions.append(api.Send(held.request.id, host.info.id, self._until(now, held)))
 
@@ -265,7 +266,7 @@
         if all(a.done for a in held.attempts):
             self.requests.pop(name, None)
             if not held.sent:  # the client left first, or its time was up: it has taken nothing
-                held.restrictor.refund(held.request.units, held.pooled)
+                held.reservation.release()
 
     def _leave(self, now: float, event: api.Abandoned | api.StreamStarted) -> None:
         self.admission.leave(event.request)
@@ -276,7 +277,7 @@
         held = self.requests.get(event.request)
         if held is None or not 0 <= event.attempt < len(held.attempts) or held.attempts[event.attempt].done:
             return
-        attempt, restrictor = held.attempts[event.attempt], held.restrictor
+        attempt, restrictor = held.attempts[event.attempt], held.reservation.restrictor
         attempt.done = True
         attempt.host.out.pop((event.request, event.attempt), None)
         if not attempt.host.out:
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -136,21 +136,33 @@
         limit = self.plan.open_limit / (1 if self.plan.rate else self.entries)
         return limit > 0 and self.open >= max(1.0, limit)
 
-    def charge(self, units: float, counted: bool = False, pooled: bool = False) -> None:
-        """Takes a request's units, unless the shared bucket or the pool of the ceiling holds them already."""
-        self.fill = max(self.fill, min(self.fill + units, self.threshold(units)))
+    def charge(self, units: float) -> float:
+        """Takes a request's units into the bucket; returns by how many its fill has grown."""
+        before = self.fill
+        self.fill = max(before, min(before + units, self.threshold(units)))
         self.passed += units
-        if not counted:
-            self.uncounted = min(self.plan.burst, self.uncounted + units)
-        if not pooled:
-            self.ceiling -= units * self.entries
-
-    def refund(self, units: float, pooled: bool = False) -> None:
-        """Gives back the units of a request that was never sent; what the pool holds stays there."""
-        self.fill, self.passed = max(0.0, self.fill - units), max(0.0, self.passed - units)
-        self.uncounted -= units  # if the shared bucket holds them, the next call takes them back
-        if not pooled:
-            self.ceiling = min(self.ceiling_burst, self.ceiling + units * self.entries)
+        return self.fill - before
+
+    def refund(self, units: float, filled: float) -> None:
+        """Gives back the units of a request that was never sent, and what the fill had grown by."""
+        self.fill, self.passed = max(0.0, self.fill - filled), max(0.0, self.passed - units)
+
+    def charge_ceiling(self, units: float) -> float:
+        """Takes a request's units from this gateway's part of the ceiling; returns what was taken there."""
+        taken = units * self.entries  # shares are even, so a request takes for all
+        self.ceiling -= taken
+        return taken
+
+    def refund_ceiling(self, taken: float, most: float) -> None:
+        """Gives back what was taken from the part of the ceiling, which held at most so much then."""
+        self.ceiling = max(self.ceiling, min(most, self.ceiling + taken))
+
+    def tell_later(self, units: float, pool: bool) -> None:
+        """Notes units that the next call to the shared bucket, or to the pool, has to carry."""
+        if pool:
+            self.pool_uncounted += units
+        else:
+            self.uncounted += units
 
     def step(self, now: float) -> None:
         """Sets the leak rate: own use times the quota over metered use of the same, late, time."""
--- a/coralvale/state.py
+++ b/coralvale/state.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from coralvale import interface as api
+from coralvale.reservation import Reservation
 
 
 class Pace:
@@ -40,11 +41,10 @@
 
     request: api.Request
     arrived: float
-    restrictor: Any  # the customer's
+    reservation: Reservation
     attempts: list[Attempt] = field(default_factory=list)
     maybe: Attempt | None = None  # the first attempt that may have run
     live: bool = True
-    pooled: bool = False  # the pool of the ceiling holds them
     sent: bool = False  # an attempt was sent, as far as is known
 
 
@@ -68,10 +68,7 @@
 class Admitted:
     """The request is within its quota; nothing is charged yet."""
 
-    request: api.Request
-    restrictor: Any  # the customer's
-    counted: float | None = None  # units that the shared bucket holds for it, if it was told
-    pooled: bool = False  # the pool of the ceiling holds its units
+    reservation: Reservation
     actions: tuple[api.Action, ...] = ()
 
 
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -330,6 +330,22 @@
     assert set(amounts) == {1.0}
 
 
+def test_requests_that_guards_refuse_leave_nothing_on_the_counter_whether_asked_about_or_not() -> None:
+    """One that is asked about stands for others; these give back their units as it does its own."""
+    bench, told, untold = counting(most_units=4.0, servers=()), 0.0, 0.0
+    for customer in range(1000):
+        bench.gateway.admission.shared.trust = 1.0
+        action = bench.request(customer=customer, entry_gateways=MANY)[1][0]
+        if isinstance(action, api.Count):
+            began = bench.gateway.admission.shared.pending[action.name][0].bucket.began
+            empty = action.amount + PLAN.rate * (bench.now - began)
+            assert [type(a) for a in bench.feed(api.CounterReply(action.name, True, empty))] == [api.Refuse]
+            told += action.amount
+        untold += bench.gateway.admission.restrictors[customer].uncounted
+    assert untold == -1000.0
+    assert 0.9 <= told / 1000 <= 1.1
+
+
 def test_a_request_refused_by_the_shared_bucket_leaves_there_what_it_stands_for() -> None:
     bench = counting(most_units=4.0)
     call = sampled(bench)
