--- a/coralvale/shared_quota.py
+++ b/coralvale/shared_quota.py
@@ -32,6 +32,7 @@
 GOLDEN = (math.sqrt(5) - 1) / 2  # spreads customers' numbers evenly over 0 to 1
 PRICE_WEIGHT = 0.05  # weight of the newest request in the mean price of their plans
 DELAY_DRIFT = 0.01  # share by which the least delay seen grows in a second: a counter may move
+MOST_AMOUNT = 1e9  # units that a call may add or take back: the counter turns away more
 NEW_NUMBER = 1e-6  # share of a call's amount that a total may exceed it by where nothing was added before
 Calls = list[api.Action]  # calls to the counter, to be made in this order
 
--- a/tests/quota_books.py
+++ b/tests/quota_books.py
@@ -213,14 +213,14 @@
         self.request(CUSTOMER, id=name, plan=plan, entry_gateways=entries, units=units)
         return name
 
-    def finish(self, name: str, outcome: api.Outcome) -> None:
+    def finish(self, name: str, outcome: api.Outcome, **answer: object) -> None:
         """The attempt that is out ends."""
         ticket = self.tickets[name]
         ticket.attempt_out = False
         ticket.reached_host = ticket.reached_host or outcome is not api.Outcome.NOT_SENT
         ended = ticket.ended
         ticket.ended = ended or outcome is api.Outcome.OK
-        self.done(name, outcome, ticket.attempts - 1, finished=ticket.ended)
+        self.done(name, outcome, ticket.attempts - 1, finished=ticket.ended, **answer)
 
     def leave(self, name: str) -> None:
         """The client leaves, or its time is up."""
@@ -273,6 +273,10 @@
         if request and call.is_pool and any(isinstance(a, api.Send) for a in actions):
             self.tickets[request.id].by_pool = True
 
+    def feed_total(self) -> None:
+        """The oldest call is added and answered."""
+        self.answer(next(iter(self.calls)), Fate.ADDED)
+
     def _settle(self, call: OpenCall, fate: Fate) -> float:
         """Adds the call where it is added, and returns the number's total."""
         account, name = self._account(call.action.name), call.action.name
