Take nothing from a ceiling for a request whose plan has none

Seen: a request that names a plan without a ceiling, by mistake, lowered its customer's part of the ceiling by its units times the set, and refilled nothing while that plan was named. Restrictor.charge took from the ceiling whatever the plan; the drain and ceiling_wait had the check. charge_ceiling has it now.

--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -149,6 +149,8 @@
 
     def charge_ceiling(self, units: float) -> float:
         """Takes a request's units from this gateway's part of the ceiling; returns what was taken there."""
+        if not self.plan.ceiling_rate:  # one that names another plan by mistake takes nothing there
+            return 0.0
         taken = units * self.entries  # shares are even, so a request takes for all
         self.ceiling -= taken
         return taken
