Refuse by a total no longer than its number lives

Seen: after one total that was 1e8 units too high, a customer was refused for 25 million seconds, and one of a pool for 2.5 million. Admission.reply and _pool_reply set full_till and pool_till to the wait that follows from the total, although another number serves the customer NUMBER_LIFETIME after this one began. Both end there now (Bucket.ends). A total that is right is not affected but in the last seconds of a number, where the next one starts anew whatever this one told.

--- a/coralvale/admission.py
+++ b/coralvale/admission.py
@@ -81,7 +81,7 @@
         wait, calls = self.shared.settle(now, event, call)
         if not wait:
             return Admitted(reservation, tuple(calls))
-        restrictor.full_till = now + max(wait, self.shared.backoff(call))
+        restrictor.full_till = min(now + max(wait, self.shared.backoff(call)), call.bucket.ends)
         return Refused(request, Reason.QUOTA_COUNTED, wait, tuple(calls))
 
     def over_ceiling(self, now: float, reservation: Reservation) -> Refused | Pending | None:
@@ -149,7 +149,7 @@
         wait, calls = STEP, Calls()
         if has_total(event):
             wait, calls = self.shared.settle(now, event, call)
-            call.restrictor.pool_till = now + wait
+            call.restrictor.pool_till = min(now + wait, call.bucket.ends)
         if not wait:
             return Admitted(reservation, tuple(calls))
         reservation.release()
--- a/coralvale/shared_quota.py
+++ b/coralvale/shared_quota.py
@@ -47,6 +47,11 @@
     most: float
     pool: bool = False  # of a ceiling: a number that is new, or that the counter lost, begins full
 
+    @property
+    def ends(self) -> float:
+        """When another number takes its place: what this one's total tells is worth nothing from then on."""
+        return self.began + NUMBER_LIFETIME
+
     def before(self, now: float, total: float, amount: float) -> float:
         """The fill ahead of a call; below nought where what was not used has added up."""
         return total - amount - self.rate * (now - self.began)
