Bound a meter's reading, so that a huge one is forgotten in seconds

Seen: one reading of 1e300 times the quota (a thousand times through the node, which drops larger ones) held the leak rate at its floor for minutes: Restrictor.step halves the mean of the readings each second, and half of 1e300 takes a thousand steps to come down. Restrictor.hear takes at most MOST_USE now: a customer that uses eight times its quota is at the floor as well. Tests: 40 s after the reading the mean was 9e287 and is 0.5; the rate after 100 and after 1e300 is the same.

--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -19,6 +19,7 @@
 SPARSE = 2.0  # times that a request is over the part of the burst where the bucket cannot know
 WIDE = 8  # gateways of a set past which each sees too little of the customer, whatever its burst
 SLACK = 0.25  # share of the burst that a shared bucket may run below empty before it is put right
+MOST_USE = 8.0  # times its quota: a reading over that says no more than that a customer is far over it
 POOLED = 0.4  # share of a wide set's ceiling that is pooled on the counter; the rest is in even parts
 LASTING = 15.0  # s for which readings tell what kind of customer it is, if not its use of this moment
 KNOWN = 20.0  # s for which one whose shared bucket was full gets nothing by this gateway's own
@@ -93,6 +94,7 @@
 
     def hear(self, now: float, reading: float) -> None:
         """Takes down a reading of the meter: the customer's use over all gateways as a share of its rate."""
+        reading = min(reading, MOST_USE)
         fresh = now - self.heard_at < LASTING
         self.told += (SMOOTH if fresh else 1.0) * (reading - self.told)
         self.reading, self.heard_at = reading, now
