Settle true units in the module only where a request may take so many

The bound stood in the node (Node._settled), the other host of the module had none. It is a decision, so it moves to Gateway._answer; the node hands on what it reads.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -286,7 +286,8 @@
         held.sent = held.sent or event.outcome is not Outcome.NOT_SENT
         if event.usage is not None and 0 <= event.usage < math.inf:
             restrictor.hear(now, event.usage)
-        if self.settings.settles_after and 0 <= (event.units or -1) < math.inf:  # corrects the guess
+        plausible = 0 < (event.units or 0) <= self.settings.most_units and event.units < math.inf
+        if self.settings.settles_after and plausible:  # corrects the guess
             restrictor.fill += event.units - held.request.units
         self._learn(now, held.request.cls, attempt.host, event)
         if event.finished or not held.live:
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -340,18 +340,13 @@
                 delay=self.clock.now() - attempt.sent_at,
                 finished=held.answered,
                 usage=answer.usage if answer else None,
-                units=self._settled(answer) if outcome is Outcome.OK else None,
+                units=answer.units if answer and outcome is Outcome.OK else None,
                 report=answer.report if answer else (),
                 broke=attempt.broke,
             )
         )
         self._forget(held)
 
-    def _settled(self, answer: Answer | None) -> float | None:
-        """The true units that an answer tells, unless no request may take so many."""
-        units = answer.units if answer else None
-        return units if units is not None and units <= self.settings.most_units else None
-
     def _cancel(self, action: api.Cancel) -> None:
         held = self.held.get(action.request)
         if held and 0 <= action.attempt < len(held.attempts) and not held.attempts[action.attempt].ended:
