End all overdue calls to a silent counter at once

Seen: without time-outs of the host's (the node has some), twenty requests of one customer waited for a silent counter for two seconds, as only the oldest call of each number was looked at in a tick (SharedQuota.overdue). Each call that is overdue is named now. The listed test passes unchanged: all twenty are decided on within two time-outs and a tick.

--- a/coralvale/shared_quota.py
+++ b/coralvale/shared_quota.py
@@ -247,6 +247,6 @@
             reservation.release()
 
     def overdue(self, now: float) -> list[int]:
-        """Names of calls whose reply was lost: their requests must not wait for it."""
+        """Names of calls whose reply was lost, one for each call: their requests must not wait for it."""
         most = 2 * self.settings.counter_timeout
-        return [name for name, calls in self.pending.items() if now - calls[0].at > most]
+        return [name for name, calls in self.pending.items() for call in calls if now - call.at > most]
