Drop idle restrictors of plans without a rate

Seen: customers of a plan without a rate were kept for good: their fill grows with each request and nothing leaks, and Admission.step dropped a restrictor only with an empty bucket. Where there is no rate the fill decides nothing, so it does not keep the restrictor (Restrictor.is_settled). The fill itself is left as it is, as a request may name such a plan by mistake.

--- a/coralvale/admission.py
+++ b/coralvale/admission.py
@@ -108,7 +108,7 @@
         """Sets all leak rates, once in STEP seconds, and drops the restrictors of idle customers."""
         for customer, restrictor in list(self.restrictors.items()):
             restrictor.step(now)
-            if now - restrictor.seen_at > IDLE and not (restrictor.open or restrictor.fill):
+            if now - restrictor.seen_at > IDLE and restrictor.is_settled():
                 del self.restrictors[customer]
 
     def _learn_units(self, request: api.Request) -> None:
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -71,6 +71,11 @@
         # A pool may run below empty before it is put right, so it holds that much less.
         self.pool = share * plan.ceiling_rate, share * plan.ceiling_burst / (1 + SLACK)
 
+    def is_settled(self) -> bool:
+        """Whether nothing would be lost if the customer came back to a new restrictor."""
+        filled = self.fill > 0 and self.plan.rate > 0  # without a rate nothing leaks, and no fill counts
+        return not (self.open or filled)
+
     def drain(self, now: float) -> None:
         elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
         self.fill = max(0.0, self.fill - self.rate * elapsed)
