Keep an idle customer's restrictor while its part of the ceiling is short

Seen in the search for the fault before: a customer that had used up a ceiling which takes ten minutes to fill, and then was idle for 60 s, came back to a new restrictor with all of it, as a new one's part of the ceiling is what has come in since the gateway's birth. A ceiling must not be exceeded. No site at hand has such a plan (ceilings fill in seconds there). Restrictor.is_settled asks for a full part too; the listed test passes unchanged, and the restrictor is dropped once the part is full.

--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -74,7 +74,7 @@
     def is_settled(self) -> bool:
         """Whether nothing would be lost if the customer came back to a new restrictor."""
         filled = self.fill > 0 and self.plan.rate > 0  # without a rate nothing leaks, and no fill counts
-        return not (self.open or filled)
+        return not (self.open or filled or self.ceiling < self.ceiling_burst)
 
     def drain(self, now: float) -> None:
         elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
