Keep each call to the counter within the amount that it takes

Seen: a total of -1e12 was filled up by a call for 1e12 units, which the counter turns away (1e9 is the most), so the bucket was never put right; corrections could be over it as well. SharedQuota._right and the calls that carry untold units bound the amount; what is over stays untold and goes with the next call.

--- a/coralvale/shared_quota.py
+++ b/coralvale/shared_quota.py
@@ -81,6 +81,11 @@
     return event.ok and math.isfinite(event.total)
 
 
+def _bounded(amount: float) -> float:
+    """An amount that one call may have; what is over waits for the next."""
+    return max(-MOST_AMOUNT, min(MOST_AMOUNT, amount))
+
+
 class SharedQuota:
     """This gateway's calls to the counter: which are made, what their totals mean, how crowded it is."""
 
@@ -136,7 +141,7 @@
         # for them while these let requests in: units that nobody used would keep the shared bucket full.
         stands_for = 1 / chance - 1 if restrictor.admits(now, request.units) else 0.0
         others = request.units * stands_for
-        amount, restrictor.uncounted = request.units + others + restrictor.uncounted, 0.0
+        amount = self._carry(request.units + others, restrictor, pool=False)
         return [self._enqueue(PendingCall(now, bucket, amount, restrictor, reservation, others))]
 
     def call_pool(self, now: float, reservation: Reservation) -> Calls:
@@ -147,7 +152,7 @@
         name, began = self._number(now, request.customer + POOLS)
         bucket = Bucket(name, began, *restrictor.pool, pool=True)
         reservation.in_pool = request.units
-        amount, restrictor.pool_uncounted = request.units + restrictor.pool_uncounted, 0.0
+        amount = self._carry(request.units, restrictor, pool=True)
         return [self._enqueue(PendingCall(now, bucket, amount, restrictor, reservation))]
 
     def _number(self, now: float, key: int) -> tuple[int, float]:
@@ -155,6 +160,13 @@
         place = now / NUMBER_LIFETIME + key % 97 / 97
         return key << 24 | int(place) & 0xFFFFFF, now - place % 1 * NUMBER_LIFETIME
 
+    def _carry(self, units: float, restrictor: Restrictor, pool: bool) -> float:
+        """The amount of a call for so many units and those not told yet, as far as one call bears them."""
+        untold = restrictor.pool_uncounted if pool else restrictor.uncounted
+        amount = _bounded(units + untold)
+        restrictor.tell_later(units - amount, pool)
+        return amount
+
     def _enqueue(self, call: PendingCall) -> api.Count:
         self.pending.setdefault(call.bucket.name, deque()).append(call)
         if call.reservation:
@@ -239,7 +251,8 @@
         # Neither a restart nor a lost number may refill a ceiling.
         is_new = event.total - call.amount <= NEW_NUMBER * abs(call.amount)
         level = bucket.most if bucket.pool and is_new else 0.0
-        return level, [self._enqueue(PendingCall(now, bucket, level - before, call.restrictor, fills=True))]
+        amount = _bounded(level - before)
+        return level, [self._enqueue(PendingCall(now, bucket, amount, call.restrictor, fills=True))]
 
     def leave(self, request: str) -> None:
         """A client has left: its call's reply decides nothing any more."""
