--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -211,3 +211,13 @@
     fleet.sent["s0"] = [Arrival(fleet.now + i / 1000, was_told=i % 4 > 0) for i in range(60)]
     (first, *_) = fleet.falls("s0", fleet.now)
     assert (first.requests, first.from_told, first.breaks_the_rule) == (60, 45, True)
+
+
+def test_the_check_finds_gateways_that_send_a_cold_server_too_much(monkeypatch: pytest.MonkeyPatch) -> None:
+    def one_in_five(gateway: Gateway, now: float) -> object:
+        return gateway.few[0] if gateway.few and gateway.random.random() < 0.2 else None
+
+    monkeypatch.setattr(Gateway, "_pick_cold", one_in_five)
+    for gateways in (3, 12):
+        falls, _ = play(1000, gateways, "one")
+        assert any(fall.breaks_the_rule for fall in falls)
