--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -1,4 +1,4 @@
-"""Hosts, discovery and a counter on loopback sockets, and a gateway between them."""
+"""A gateway on loopback sockets between the test bed's stand-ins."""
 
 from __future__ import annotations
 
@@ -17,8 +17,13 @@
 from coralvale.net.config import parse_config
 from coralvale.net.node import Node
 from coralvale.net.upstream import Upstreams
-
-LIMIT = 20.0  # s within which anything that is waited for must have happened
+from testbed.standins.http import Message, read_message
+from testbed.standins.http import answer as answer
+from testbed.standins.http import chunk as chunk
+from testbed.standins.lists import WATCH_HEAD
+from testbed.standins.lists import entry as entry
+from testbed.standins.lists import line as line
+from testbed.standins.peer import LIMIT, Arrived, Peer
 
 SETTINGS: dict[str, Any] = {
     "n_instances": 3,
@@ -117,95 +122,6 @@
             await asyncio.sleep(0.002)
 
 
-@dataclass
-class Message:
-    """An HTTP message as it came."""
-
-    first: bytes
-    headers: dict[bytes, bytes]
-    body: bytes
-
-    @property
-    def status(self) -> int:
-        return int(self.first.split(b" ")[1])
-
-
-async def read_message(reader: asyncio.StreamReader) -> Message:
-    head = await reader.readuntil(b"\r\n\r\n")
-    first, *lines = head[:-4].split(b"\r\n")
-    headers = {}
-    for line in lines:
-        name, _, value = line.partition(b":")
-        headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get(b"content-length", b"0")))
-    return Message(first, headers, body)
-
-
-def answer(status: int = 200, body: bytes = b"ok", **headers: str) -> bytes:
-    lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}"]
-    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
-@dataclass
-class Arrived:
-    """A request at a fake host or counter, and the connection to answer it on."""
-
-    message: Message
-    writer: asyncio.StreamWriter
-    connection: int
-
-    def reply(self, data: bytes) -> None:
-        self.writer.write(data)
-
-    def close(self) -> None:
-        self.writer.close()
-
-    def reset(self) -> None:
-        self.writer.transport.abort()
-
-
-@dataclass
-class Peer:
-    """A server on a port of its own: every request it gets is put into `arrived`; `auto` answers at once."""
-
-    auto: bytes | None = None
-    arrived: asyncio.Queue[Arrived] = field(default_factory=asyncio.Queue)
-    connections: int = 0
-    closed: int = 0
-    writers: list[asyncio.StreamWriter] = field(default_factory=list)
-
-    async def start(self, port: int = 0) -> Peer:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    @property
-    def address(self) -> tuple[str, int]:
-        return "127.0.0.1", self.port
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        number = self.connections
-        self.writers.append(writer)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            while True:
-                arrived = Arrived(await read_message(reader), writer, number)
-                if self.auto is not None:
-                    writer.write(self.auto)
-                self.arrived.put_nowait(arrived)
-        self.closed += 1
-        writer.close()
-
-    async def next(self) -> Arrived:
-        return await soon(self.arrived.get())
-
-    def stop(self) -> None:
-        self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
-
-
 class FullListener:
     """A listener with a full backlog, which answers no further SYN: connects to it hang."""
 
@@ -224,9 +140,6 @@
             each.close()
 
 
-WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-
-
 class Registry(Peer):
     """Discovery: each watch is answered with a head, then with what the test tells."""
 
@@ -236,20 +149,6 @@
         return watch
 
 
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-def line(index: int, *endpoints: dict[str, Any], snapshot: bool = False) -> bytes:
-    message = {"index": index, "snapshot": snapshot, "endpoints": list(endpoints)}
-    return json.dumps(message).encode() + b"\n"
-
-
-def entry(name: str, port: int, **more: Any) -> dict[str, Any]:
-    fields = {"name": name, "address": f"127.0.0.1:{port}", "zone": "south", "type": "large", "group": 1}
-    return {**fields, "status": "active", "weight": 1.0, "since_ms": 0, **more}
-
-
 class Client:
     """A client connection of a gateway."""
 
