--- /dev/null
+++ b/testbed/soak/gateways.py
@@ -0,0 +1,176 @@
+"""Gateways as real processes: started by the deploy file's command, signalled, sampled, ended."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import time
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Literal
+
+from testbed.soak import record as r
+from testbed.standins.http import read_message
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+POLL = 0.02  # s between looks at whether a process is ready
+UP = b"GET /up HTTP/1.1\r\nHost: service.internal\r\n\r\n"
+FAILURES = ("Traceback", " ERROR ")  # in a log line: the gateway failed at something of its own
+PAGE = os.sysconf("SC_PAGE_SIZE")
+Signal = Literal["SIGTERM", "SIGHUP", "SIGKILL"]
+
+
+def deploy_command(name: str) -> str:
+    """A command of the deploy file; raises KeyError where it has none by this name."""
+    return str(tomllib.loads((ROOT / "deploy/balancer.toml").read_text())[name])
+
+
+def free_port() -> int:
+    """A port that nobody listens at now."""
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return int(free.getsockname()[1])
+
+
+class GatewayProcess:
+    """One gateway through all its starts; `note` takes what is seen of it."""
+
+    def __init__(
+        self,
+        index: int,
+        folder: Path,
+        configuration: Callable[[], dict[str, Any]],
+        note: Callable[[r.AnyEntry], None],
+    ) -> None:
+        self.index, self.folder, self.configuration, self.note = index, folder, configuration, note
+        self.port = free_port()
+        self.number = -1  # of its starts, from 0 on
+        self.process: asyncio.subprocess.Process | None = None
+        self.is_ready = False
+        self.is_ending = False  # it has got SIGTERM
+        self.new_connections_until = 0.0  # s, monotonic: how long after SIGTERM new clients may come
+        self.paths = [self.folder / f"gateway{index}.json", self.folder / f"gateway{index}.log"]
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def write_configuration(self) -> None:
+        path, _ = self.paths
+        path.with_suffix(".new").write_text(json.dumps(self.configuration()))
+        path.with_suffix(".new").replace(path)
+
+    async def start(self) -> None:
+        """Starts it; it is ready some time later."""
+        self.number += 1
+        self.is_ready = self.is_ending = False
+        self.write_configuration()
+        configuration, log = self.paths
+        with log.open("ab") as errors:
+            self.process = await asyncio.create_subprocess_exec(
+                "sh", "-c", deploy_command("run"),
+                cwd=ROOT, env={**os.environ, "LB_CONFIG": str(configuration)},
+                stdin=asyncio.subprocess.DEVNULL, stdout=errors, stderr=errors,
+            )  # fmt: skip
+        self.note(r.ProcessStarted(time.monotonic(), self.index, self.number))
+        self._spawn(self._watch_start(self.process, self.number))
+        self._spawn(self._watch_end(self.process, self.number))
+
+    def _spawn(self, coroutine: Any) -> None:  # noqa: ANN401
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _watch_start(self, process: asyncio.subprocess.Process, number: int) -> None:
+        while process.returncode is None and self.number == number and not self.is_ending:
+            if await self._answers_up():
+                descriptors, memory = self.sample()
+                self.note(r.ProcessReady(time.monotonic(), self.index, number, descriptors, memory))
+                self.is_ready = not self.is_ending
+                return
+            await asyncio.sleep(POLL)
+
+    async def _answers_up(self) -> bool:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                try:
+                    writer.write(UP)
+                    return (await read_message(reader)).status == 200
+                finally:
+                    writer.close()
+        return False
+
+    async def _watch_end(self, process: asyncio.subprocess.Process, number: int) -> None:
+        code = await process.wait()
+        if self.number == number:
+            self.is_ready = False
+        self.note(r.ProcessExited(time.monotonic(), self.index, number, code))
+
+    @property
+    def is_running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, name: Signal, planned: bool = False) -> None:
+        """Sends it a signal, if it runs."""
+        if self.process is None or not self.is_running:
+            return
+        self.note(r.ProcessSignalled(time.monotonic(), self.index, self.number, name, planned))
+        if name == "SIGTERM":
+            self.is_ending = True
+        if name != "SIGHUP":
+            self.is_ready = False
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(getattr(signal, name))
+
+    async def stall(self, seconds: float) -> None:
+        """Holds the process up for a while."""
+        if self.process is None or not self.is_running:
+            return
+        process, begin = self.process, time.monotonic()
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGSTOP)
+            try:
+                await asyncio.sleep(seconds)
+            finally:
+                process.send_signal(signal.SIGCONT)
+        self.note(r.Delayed(begin, self.index, time.monotonic()))
+
+    async def wait(self, seconds: float) -> bool:
+        """Whether it ends within so many seconds."""
+        if self.process is None:
+            return True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.process.wait()
+        return not self.is_running
+
+    def sample(self) -> tuple[int, int]:
+        """Its open descriptors and resident memory (bytes); noughts where it has ended."""
+        if self.process is None:
+            return 0, 0
+        try:
+            folder = Path(f"/proc/{self.process.pid}")
+            pages = int((folder / "statm").read_text().split()[1])
+            return len(list((folder / "fd").iterdir())), pages * PAGE
+        except (OSError, IndexError, ValueError):
+            return 0, 0
+
+    def note_failures(self) -> None:
+        """Notes the log's lines that tell of a failure of the gateway's own."""
+        _, log = self.paths
+        for text in log.read_text(errors="replace").splitlines() if log.exists() else []:
+            if any(sign in text for sign in FAILURES):
+                self.note(r.ErrorLogged(time.monotonic(), self.index, text[:200]))
+
+    async def close(self) -> None:
+        """Ends it for good, whatever it does."""
+        if self.process is not None and self.is_running:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(signal.SIGCONT)
+                self.process.kill()
+            await self.process.wait()
+        for task in list(self.tasks):
+            task.cancel()
--- /dev/null
+++ b/testbed/standins/discovery.py
@@ -0,0 +1,164 @@
+"""Discovery and its agents on loopback: watches that tell changes, fall silent, end, or send whole lists."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import re
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from testbed.standins.http import answer, chunk, read_message
+from testbed.standins.lists import WATCH_HEAD, entry, line
+
+HEARTBEAT = 2.0  # s between empty lines
+WATCH = re.compile(rb"GET /discovery/hosts\?stream=1(?:&index=(\d+))? HTTP/1\.1")
+DOWN_RETRY = 0.02  # s between looks at whether discovery is back
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A host as discovery has it."""
+
+    name: str
+    port: int
+    status: str
+    started: float  # Unix time of its last start, nought for long ago
+
+    def as_entry(self) -> dict[str, Any]:
+        return entry(self.name, self.port, status=self.status, since_ms=round(self.started * 1000))
+
+
+@dataclass(eq=False)
+class Watch:
+    """An open watch of one gateway."""
+
+    agent: Agent
+    writer: asyncio.StreamWriter
+    index: int
+    silent: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class Registry:
+    """The list and its history; `on_told(gateway, listed)` hears of each state that a watch is sent."""
+
+    def __init__(self, whole_lists: bool, on_told: Callable[[int, str, str], None]) -> None:
+        self.whole_lists, self.on_told = whole_lists, on_told
+        self.index = 0
+        self.hosts: dict[str, Listed] = {}
+        self.history: list[tuple[int, Listed]] = []
+        self.agents: list[Agent] = []
+        self.down_until = 0.0  # s, monotonic
+
+    def change(self, listed: Listed) -> float:
+        """Takes a change; returns when the agents have it (s, monotonic)."""
+        self.index += 1
+        self.hosts[listed.name] = listed
+        if listed.status == "left":
+            del self.hosts[listed.name]
+        self.history.append((self.index, listed))
+        self.wake()
+        return max(time.monotonic(), self.down_until)
+
+    def wake(self) -> None:
+        for agent in self.agents:
+            for watch in agent.watches:
+                watch.changed.set()
+
+    def fall_silent(self) -> None:
+        """The watches that are open now say nothing any more, and stay open."""
+        for agent in self.agents:
+            for watch in agent.watches:
+                watch.silent = True
+
+    def go_down(self, seconds: float) -> None:
+        """The agents learn nothing and say nothing for a while."""
+        self.down_until = max(self.down_until, time.monotonic() + seconds)
+        asyncio.get_running_loop().call_later(seconds + DOWN_RETRY, self.wake)
+
+    @property
+    def is_down(self) -> bool:
+        return time.monotonic() < self.down_until
+
+    def message(self, after: int | None) -> tuple[bytes, list[Listed]]:
+        """What a watch from this version on is sent, and the states that it tells."""
+        if after is not None and not self.whole_lists:
+            changes = {listed.name: listed for index, listed in self.history if index > after}
+            listed = list(changes.values())
+            return line(self.index, *[each.as_entry() for each in listed]), listed
+        listed = [h for h in self.hosts.values() if h.status == "active" or not self.whole_lists]
+        return line(self.index, *[each.as_entry() for each in listed], snapshot=True), listed
+
+    def known(self) -> dict[str, Any]:
+        """The whole list as a configuration holds it."""
+        entries = [host.as_entry() for host in self.hosts.values()]
+        return {"index": self.index, "snapshot": True, "endpoints": entries}
+
+
+class Agent:
+    """The agent on one gateway's machine."""
+
+    def __init__(self, registry: Registry, gateway: int) -> None:
+        self.registry, self.gateway = registry, gateway
+        self.watches: set[Watch] = set()
+        registry.agents.append(self)
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = int(self.server.sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        self.server.close()
+        for watch in list(self.watches):
+            watch.writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                message = await read_message(reader)
+                match = WATCH.fullmatch(message.first)
+                if match is None:
+                    writer.write(answer(404, b""))
+                    return
+                while self.registry.is_down:
+                    await asyncio.sleep(DOWN_RETRY)
+                after = None if match[1] is None else int(match[1])
+                await self._follow(Watch(self, writer, -1 if after is None else after), reader, after)
+        finally:
+            writer.close()
+
+    async def _follow(self, watch: Watch, reader: asyncio.StreamReader, after: int | None) -> None:
+        self.watches.add(watch)
+        gone = asyncio.ensure_future(reader.read())
+        try:
+            watch.writer.write(WATCH_HEAD)
+            if after is None or after != self.registry.index:
+                self._tell(watch, after)
+            while not gone.done():
+                changed = asyncio.ensure_future(watch.changed.wait())
+                await asyncio.wait([gone, changed], timeout=HEARTBEAT, return_when=asyncio.FIRST_COMPLETED)
+                changed.cancel()
+                watch.changed.clear()
+                if watch.silent or self.registry.is_down or gone.done():
+                    continue
+                if watch.index != self.registry.index:
+                    self._tell(watch, watch.index)
+                else:
+                    watch.writer.write(chunk(b"\n"))
+        finally:
+            gone.cancel()
+            self.watches.discard(watch)
+
+    def _tell(self, watch: Watch, after: int | None) -> None:
+        before = {listed.name for _, listed in self.registry.history}
+        message, listed = self.registry.message(after)
+        watch.writer.write(chunk(message))
+        watch.index = self.registry.index
+        told = {each.name: each.status for each in listed}
+        if after is None or self.registry.whole_lists:  # what a whole list does not name is gone
+            told = {name: told.get(name, "left") for name in before}
+        for name, status in told.items():
+            self.registry.on_told(self.gateway, name, status)
--- /dev/null
+++ b/testbed/standins/hosts.py
@@ -0,0 +1,104 @@
+"""Hosts on loopback that serve, hang, reset, turn away or vanish, and tell what reached them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from testbed.standins.http import Message, answer, parse_head
+
+LEAST_SERVICE, MOST_SERVICE = 0.005, 0.04  # s that a request takes
+
+
+class Mode(Enum):
+    """What a host does with a request that it has read whole."""
+
+    SERVES = "serves"
+    HANGS = "hangs"
+    RESETS = "resets"
+    TURNS_AWAY = "turns away"
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that a host has read whole, with the times of its first and last byte (s, monotonic)."""
+
+    message: Message
+    first_byte: float
+    at: float
+
+    @property
+    def request(self) -> str:
+        return self.message.headers.get(b"x-request-id", b"").decode()
+
+
+class Host:
+    """One host: `on_arrival` is told of each request, `on_end` of its end and whether it surely never ran."""
+
+    def __init__(
+        self,
+        name: str,
+        service_time: Callable[[], float],
+        on_arrival: Callable[[Host, Arrival], None],
+        on_end: Callable[[Host, Arrival, bool], None],
+    ) -> None:
+        self.name, self.service_time, self.on_arrival, self.on_end = name, service_time, on_arrival, on_end
+        self.mode = Mode.SERVES
+        self.started = 0.0  # Unix time of its last start, nought for long ago
+        self.port = 0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listens, at the same port as before if there was one."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = int(self.server.sockets[0].getsockname()[1])
+
+    def vanish(self) -> None:
+        """Closes the listener and resets all connections."""
+        if self.server:
+            self.server.close()
+            self.server = None
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                while await self._serve_one(reader, writer):
+                    pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Reads and answers one request; tells whether the connection goes on."""
+        first = await reader.readexactly(1)
+        first_byte = time.monotonic()
+        message = parse_head(first + await reader.readuntil(b"\r\n\r\n"))
+        message.body = await reader.readexactly(int(message.headers.get(b"content-length", b"0")))
+        arrival = Arrival(message, first_byte, time.monotonic())
+        self.on_arrival(self, arrival)
+        mode = self.mode
+        never_ran = mode is Mode.TURNS_AWAY
+        try:
+            if mode is Mode.HANGS:
+                await reader.read()  # until the gateway gives up
+                return False
+            if mode is Mode.RESETS:
+                await asyncio.sleep(self.service_time() / 2)
+                writer.transport.abort()
+                return False
+            if mode is Mode.TURNS_AWAY:
+                writer.write(answer(503, b"", X_Not_Processed="1"))
+                return True
+            await asyncio.sleep(self.service_time())
+            writer.write(answer(200, arrival.request.encode()))
+            return True
+        finally:
+            self.on_end(self, arrival, never_ran)
