Survive a reload while a gateway starts, and make up for it

Two faults of one place, the start of __main__: SIGHUP has its default effect until the interpreter has loaded the program's modules; and from there until the event loop took it over it was ignored, so a file that was changed after it had been read was never read again and the old agent was followed. Excluded: a failed start, as nothing was logged, and SIGTERM, which gives 0 or -15.

Both tests fail without their half: the first waits for a gateway that is dead, the second for a watch at the new agent.

--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -43,13 +43,26 @@
     node.reload(config)
 
 
-async def serve(config: Config, path: str) -> None:
+class EarlyReload:
+    """Remembers a SIGHUP that comes ahead of the event loop: the file may have been read before it."""
+
+    def __init__(self) -> None:
+        self.asked = False
+        signal.signal(signal.SIGHUP, self._note)
+
+    def _note(self, *_: object) -> None:
+        self.asked = True
+
+
+async def serve(config: Config, path: str, early: EarlyReload) -> None:
     loop = asyncio.get_running_loop()
     node = Node(config)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
     loop.add_signal_handler(signal.SIGHUP, reload, node, path)
     node.start()
+    if early.asked:
+        reload(node, path)
     # What start-up made lives for good: collecting it again and again would only cost time.
     gc.collect()
     gc.freeze()
@@ -62,15 +75,13 @@
     logging.getLogger().handlers[0].addFilter(Sparing())
     # libuv's io_uring comes with a kernel thread that polls: with less than a core it used all there was.
     os.environ.setdefault("UV_USE_IO_URING", "0")
-    signal.signal(
-        signal.SIGHUP, signal.SIG_IGN
-    )  # one that comes before the loop runs must not end the program
+    early = EarlyReload()
     path = os.environ.get("LB_CONFIG")
     if not path:
         print("coralvale: LB_CONFIG is not set", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(read_config(path), path))
+        uvloop.run(serve(read_config(path), path, early))
     except ConfigError as error:
         print(f"coralvale: {error}", file=sys.stderr)
         return 2
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 import time
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,7 @@
     soon,
 )
 
+from coralvale.__main__ import EarlyReload, serve
 from coralvale.adapter import read_settings
 from coralvale.net.clock import Clock
 from coralvale.net.config import ConfigError, flatten, parse_config, read_config
@@ -445,3 +447,60 @@
             peer.stop()
 
     run(test())
+
+
+def test_a_reload_while_the_interpreter_starts_does_not_end_the_program(tmp_path: Path) -> None:
+    """The soak saw gateways ended by SIGHUP, code -1, within some 0.1 s of their start.
+
+    SIGHUP ends a process that has not said otherwise, and the program says so only when its modules are
+    loaded. The deploy file's command has it ignored from before the interpreter is there.
+    """
+
+    async def test() -> None:
+        registry, port = await Registry(answer(503, b"")).start(), free_port()
+        path = tmp_path / "config.json"
+        more = {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{registry.port}"}
+        path.write_text(json.dumps(config(**more)))
+        command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        process = await asyncio.create_subprocess_exec(
+            *("sh", "-c", command.replace(".venv/bin/python", sys.executable)),
+            cwd=ROOT,
+            env={**os.environ, "LB_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        name = Path(f"/proc/{process.pid}/cmdline")
+        async with asyncio.timeout(LIMIT):
+            while not name.read_bytes().startswith(sys.executable.encode()):
+                await asyncio.sleep(0)
+        process.send_signal(signal.SIGHUP)
+        await up(port)
+        await end(process)
+        registry.stop()
+
+    run(test())
+
+
+def test_a_reload_ahead_of_the_event_loop_is_made_up_for(tmp_path: Path) -> None:
+    """The file is read, then changed and announced by SIGHUP, and only then can the loop take signals."""
+
+    async def test() -> None:
+        registry, moved = await Registry().start(), await Registry().start()
+        path = tmp_path / "config.json"
+        listen = f"127.0.0.1:{free_port()}"
+        path.write_text(json.dumps(config(listen=listen, discovery=f"127.0.0.1:{registry.port}")))
+        early = EarlyReload()
+        first = read_config(str(path))
+        path.write_text(json.dumps(config(listen=listen, discovery=f"127.0.0.1:{moved.port}")))
+        signal.raise_signal(signal.SIGHUP)
+        serving = asyncio.ensure_future(serve(first, str(path), early))
+        await moved.watch()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await soon(serving)
+        registry.stop()
+        moved.stop()
+
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        run(test())
+    finally:
+        signal.signal(signal.SIGHUP, before)
