Count the time that a new connection waits for its place against its request

Cause: past the bound on clients connections wait in the kernel with their first request, and Node.take counts its time from when it is read. Server notes since when connections may wait, until it has seen that none does, and takes that off the first request's time. The test fails without it by 0.2 s; it also holds that a connection that comes later is not charged.

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -210,6 +210,7 @@
         self.paused = self.ended = False
         self.stuck_at: float | None = None  # since when the client has left too much unread
         self.surplus = False  # beyond the bound: it is told so, then closed
+        self.waited = 0.0  # s that it may have stood in the kernel, with its first request
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
         self.transport = transport
@@ -444,6 +445,7 @@
         self.lingering: OrderedDict[ClientConnection, asyncio.TimerHandle] = OrderedDict()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.closing = self.accepting = False
+        self.full_since: float | None = None  # since when connections may wait in the kernel for a place
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -465,6 +467,7 @@
         if not self.accepting and self.socket.fileno() >= 0:
             self.accepting = True
             self.loop.add_reader(self.socket.fileno(), self._accept)
+            self._note_empty()
 
     def _pause(self) -> None:
         if self.accepting:
@@ -475,7 +478,9 @@
         for _ in range(ACCEPTS):
             if len(self.connections) >= self.most + self.surplus:
                 if not readable(self.socket.fileno()):
+                    self.full_since = None
                     return
+                self._note_full()
                 # A flood of silent ones must not keep out who waits in the kernel.
                 if not self._close_silent():
                     self._make_room()
@@ -484,11 +489,15 @@
                 return
             try:
                 accepted, _ = self.socket.accept()
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:  # nobody waits any more
+                self.full_since = None
+                return
+            except InterruptedError:
                 return
             except OSError as error:
                 if error.errno == errno.ECONNABORTED:
                     continue
+                self._note_full()
                 # Out of descriptors or memory: the waiting connection would wake the loop without end.
                 log.warning("cannot accept: %s", error.strerror)
                 self._make_room()
@@ -497,11 +506,23 @@
                 return
             accepted.setblocking(False)
             connection = ClientConnection(self)
+            if self.full_since is not None:
+                connection.waited = time.monotonic() - self.full_since
             connection.surplus = len(self.connections) >= self.most and not self._make_room()
             self.connections.add(connection)
             task = self.loop.create_task(self._attach(connection, accepted))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
+        self._note_empty()
+
+    def _note_empty(self) -> None:
+        """What comes once nobody waits in the kernel has not waited there itself."""
+        if self.full_since is not None and not readable(self.socket.fileno()):
+            self.full_since = None
+
+    def _note_full(self) -> None:
+        if self.full_since is None:
+            self.full_since = time.monotonic()
 
     async def _attach(self, connection: ClientConnection, accepted: socket.socket) -> None:
         try:
@@ -551,6 +572,9 @@
             except BadRequest as error:
                 exchange.refuse(400, f"{error}\n".encode())
                 return
+            # Its time counts from its last byte, which may have come as long ago as its connection.
+            arrival.time_out -= exchange.connection.waited
+            exchange.connection.waited = 0.0
             self.handler.take(exchange, arrival)
         elif path == b"/up" and exchange.method in (b"GET", b"HEAD"):
             exchange.reply(200 if self.handler.ready else 503)
--- a/testbed/soak/gateways.py
+++ b/testbed/soak/gateways.py
@@ -115,7 +115,7 @@
 
     def signal(self, name: Signal, planned: bool = False) -> None:
         """Sends it a signal, if it runs."""
-        if self.process is None or not self.is_running:
+        if self.process is None or not self.is_running or (name == "SIGHUP" and not self._is_executed()):
             return
         self.note(r.ProcessSignalled(time.monotonic(), self.index, self.number, name, planned))
         if name == "SIGTERM":
@@ -125,6 +125,14 @@
         with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(getattr(signal, name))
 
+    def _is_executed(self) -> bool:
+        """Whether the shell has become the gateway; until then it may not have come to its trap."""
+        assert self.process is not None
+        try:
+            return b"coralvale" in Path(f"/proc/{self.process.pid}/cmdline").read_bytes().split(b"\0")
+        except OSError:
+            return False
+
     async def stall(self, seconds: float) -> None:
         """Holds the process up for a while."""
         if self.process is None or not self.is_running:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -212,6 +212,39 @@
     run(test())
 
 
+def test_the_time_that_a_new_connection_waits_for_its_place_is_the_client_s() -> None:
+    """The soak saw a host told of 0.2 s more than its client had left, where idle clients crowded in.
+
+    A connection that has to wait in the kernel for its place brings its request along. The request's time
+    counts from its last byte, so what is left of it when it is read is less by up to that wait.
+    """
+
+    async def test() -> None:
+        async with world() as w:
+            w.node.server.most, w.node.server.surplus = 1, 0
+            first = await w.client()
+            first.send(request("r1"))
+            await until(lambda: len(w.node.held) == 1)
+            second = await w.client()
+            sent_at = w.node.clock.now()
+            second.send(request("r2"))
+            await until(lambda: w.node.clock.now() > sent_at + 0.2)
+            first.close()
+            await until(lambda: "r2" in w.node.held)
+            (_, event) = w.script.of(api.Request)
+            assert event.expires_at <= sent_at + 30.0
+            assert event.expires_at > sent_at + 29.0
+            third = await w.client()
+            second.close()
+            await until(lambda: not w.node.held)
+            third.send(request("r3"))
+            sent_at = w.node.clock.now()
+            await until(lambda: "r3" in w.node.held)
+            assert w.script.of(api.Request)[-1].expires_at > sent_at + 29.0
+
+    run(test())
+
+
 def test_accepting_goes_on_after_it_has_failed() -> None:
     class Exhausted:
         """A listening socket on a machine that runs out of descriptors once."""
