--- a/testbed/soak/run.py
+++ b/testbed/soak/run.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import random
-import shutil
 import time
 from pathlib import Path
 from typing import Any
@@ -350,10 +349,3 @@
             },
         },
     }  # fmt: skip
-
-
-def play(plan: Plan, folder: Path) -> r.Record:
-    """Plays one plan in an event loop of its own; what the gateways wrote stays in `folder`."""
-    shutil.rmtree(folder, ignore_errors=True)
-    folder.mkdir(parents=True)
-    return asyncio.run(Run(plan, folder).play())
--- a/testbed/standins/counter.py
+++ b/testbed/standins/counter.py
@@ -100,7 +100,8 @@
                 while True:
                     waiting.put_nowait(Waiting(await read_message(reader), time.monotonic()))
             waiting.put_nowait(None)
-            await answering
+            with contextlib.suppress(asyncio.CancelledError):
+                await answering
         finally:
             answering.cancel()
             self.writers.discard(writer)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,75 @@
+"""The soak itself: plans by their seeds, the command, and a few short runs of real gateways.
+
+The long soak is started by hand (README). A run that fails here keeps its record and logs in pytest's folder;
+its seed and seconds play it again.
+"""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from testbed.soak.__main__ import build
+from testbed.soak.gateways import ROOT
+from testbed.soak.plan import LONGEST_STALL, Trouble, draw
+from testbed.soak.series import play_seed
+
+SEEDS = (3, 4, 8, 11, 20, 27)
+SECONDS = 5.0
+COMMAND = [sys.executable, "-m", "testbed.soak"]
+
+
+@pytest.fixture(scope="module", autouse=True)
+def built() -> None:
+    build()
+
+
+def test_a_seed_draws_the_same_run_again_and_all_troubles_come() -> None:
+    plans = [draw(seed, 8.0) for seed in range(60)]
+    assert plans == [draw(seed, 8.0) for seed in range(60)]
+    events = [event for plan in plans for event in plan.events]
+    assert {event.trouble for event in events} == set(Trouble)
+    assert all(event.seconds <= LONGEST_STALL for event in events if event.trouble is Trouble.STALL)
+    assert all(
+        event.target != 0 for event in events if event.trouble in (Trouble.RESTART, Trouble.KILL)
+    )  # its books are checked to the unit
+
+
+def test_a_planned_restart_is_killed_at_the_earliest_moment() -> None:
+    assert {round(plan.kill_after, 3) for plan in (draw(seed, 8.0) for seed in range(60))} == {
+        1.4,
+        1.9,
+        2.7,
+        3.7,
+    }
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_real_gateways_keep_all_rules(tmp_path: Path, seed: int) -> None:
+    result = play_seed(seed, SECONDS, tmp_path / str(seed))
+    assert result.failure is None
+    assert result.answers > 100 and result.starts >= 3
+    assert [str(violation) for violation in result.violations] == []
+
+
+@pytest.mark.parametrize("options", [["--seeds", "0"], ["--seconds", "x"], ["--jobs", "99"], ["--no-such"]])
+def test_a_wrong_option_gets_one_line(options: list[str]) -> None:
+    result = subprocess.run([*COMMAND, *options], cwd=ROOT, capture_output=True, text=True, check=False)
+    assert result.returncode == 2
+    assert result.stderr.startswith("soak: ") and result.stderr.count("\n") == 1
+
+
+def test_an_interrupt_ends_what_was_started_and_keeps_what_was_seen(tmp_path: Path) -> None:
+    command = [*COMMAND, "--seconds", "60", "--records", str(tmp_path)]
+    process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    log = tmp_path / "1/gateway2.log"
+    while not (log.exists() and log.with_suffix(".json").exists()):
+        assert process.poll() is None
+    process.send_signal(signal.SIGINT)
+    out, _ = process.communicate(timeout=60)
+    assert process.returncode == 130 and "interrupted after 0 of 1 runs" in out
+    assert (tmp_path / "1/record.jsonl").stat().st_size > 0
