Use the field's terms on the quota path, and name its last bare numbers

The numbers without a name (four and two time-outs, 60 s, 97, half of the slack, the two in the threshold) are LEAST_TIME, LOST_AFTER, NAME_LIFETIME, STARTS, UNDO_ABOVE and EQUAL_COST with the same values; REST's comment tells no measurement any more. No behaviour changes.

--- a/coralvale/admission.py
+++ b/coralvale/admission.py
@@ -23,11 +23,11 @@
 class Admission:
     """The customers' restrictors of one gateway, and its part in the buckets on the shared counter."""
 
-    def __init__(self, settings: api.Settings, lot: random.Random) -> None:
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
         self.settings = settings
         self.restrictors: dict[int, Restrictor] = {}  # by customer
-        self.shared = SharedQuota(settings, lot)
-        self.lot = lot
+        self.shared = SharedQuota(settings, rng)
+        self.random = rng
         self.mean_units = [0.0] * len(settings.plans)  # of a request, by plan
         self.seen = [0] * len(settings.plans)  # requests, by plan
         self.born: float | None = None  # when this gateway had its first event
@@ -58,8 +58,8 @@
         may_count = self.settings.may_count and not restrictor.soft()
         if not may_count or not restrictor.sparse(request.units, self.settings.meter_period > 0):
             return self._own_bucket(now, reservation)
-        if now < restrictor.full_till:
-            return Refused(request, Reason.QUOTA_COUNTED, restrictor.full_till - now)
+        if now < restrictor.blocked_until:
+            return Refused(request, Reason.QUOTA_COUNTED, restrictor.blocked_until - now)
         if not self.shared.covers(now, request, restrictor):
             return self._own_bucket(now, reservation)
         if calls := self.shared.call(now, reservation):
@@ -81,7 +81,7 @@
         wait, calls = self.shared.settle(now, event, call)
         if not wait:
             return Admitted(reservation, tuple(calls))
-        restrictor.full_till = min(now + max(wait, self.shared.backoff(call)), call.bucket.ends)
+        restrictor.blocked_until = min(now + max(wait, self.shared.backoff(call)), call.bucket.ends)
         return Refused(request, Reason.QUOTA_COUNTED, wait, tuple(calls))
 
     def over_ceiling(self, now: float, reservation: Reservation) -> Refused | Pending | None:
@@ -89,8 +89,8 @@
         request, restrictor = reservation.request, reservation.restrictor
         if reservation.in_pool or not (wait := restrictor.ceiling_wait(request.units)):
             return None
-        if now < restrictor.pool_till:
-            wait = restrictor.pool_till - now
+        if now < restrictor.pool_blocked_until:
+            wait = restrictor.pool_blocked_until - now
         elif calls := self.shared.call_pool(now, reservation):
             return Pending(tuple(calls))
         reservation.release()
@@ -123,7 +123,7 @@
         wait = restrictor.wait(request.units)
         if not wait and not restrictor.spent(now):
             chance = 1.0 if sampled else self._chance_of_unknown(request, restrictor)
-            if chance >= 1 or self.lot.random() < chance:
+            if chance >= 1 or self.random.random() < chance:
                 return Admitted(reservation)
         if not sampled:  # one that stands for others does so only while the own bucket lets these in
             reservation.release()
@@ -149,7 +149,7 @@
         wait, calls = STEP, Calls()
         if has_total(event):
             wait, calls = self.shared.settle(now, event, call)
-            call.restrictor.pool_till = min(now + wait, call.bucket.ends)
+            call.restrictor.pool_blocked_until = min(now + wait, call.bucket.ends)
         if not wait:
             return Admitted(reservation, tuple(calls))
         reservation.release()
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -14,7 +14,17 @@
 from coralvale.health import LOST, NEWS, SILENCE, Host
 from coralvale.interface import Outcome, Repeat
 from coralvale.restrictor import QUIET, STEP, Restrictor
-from coralvale.state import QUOTA_REASONS, Admitted, Attempt, Decision, Held, Pace, Reason, Refusals, Refused
+from coralvale.state import (
+    QUOTA_REASONS,
+    Admitted,
+    Attempt,
+    Decision,
+    Pace,
+    PendingRequest,
+    Reason,
+    Refusals,
+    Refused,
+)
 
 TICK = 0.1  # s between looks at what is overdue: well under any delay that a client would notice
 FAIL_PAUSE = 0.5  # s a failing server is passed over, doubled on each failure in a row up to four
@@ -46,7 +56,7 @@
         self.near, self.few = list[Host](), list[Host]()  # those of the warm and the cold that it keeps to
         self.sort_at = -math.inf  # when a cold server becomes warm
         self.busy: dict[Host, None] = {}  # servers with attempts out
-        self.requests: dict[str, Held] = {}
+        self.requests: dict[str, PendingRequest] = {}
         self.usual = [c.aim / 5 for c in settings.classes]  # delay of a class, learned from answers
         self.calm = list(self.usual)  # the lowest that the usual delay has lately been
         self.mean = sum(self.usual) / len(self.usual)
@@ -113,8 +123,8 @@
             return self._refuse(Refused(request, Reason.NO_SERVER, STEP))
         reservation.charge()
         self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
-        self.requests[request.id] = held = Held(request, now, reservation)
-        return self._send(now, held, host)
+        self.requests[request.id] = pending = PendingRequest(request, now, reservation)
+        return self._send(now, pending, host)
 
     def _guard(self, now: float, request: api.Request, restrictor: Restrictor) -> Refused | None:
         """Why a request that is within its quota is refused all the same, and for how long."""
@@ -205,12 +215,12 @@
                 return None if host.ill(now, self.mean) else host
         return None
 
-    def _pick(self, now: float, held: Held | None = None) -> Host | None:
+    def _pick(self, now: float, pending: PendingRequest | None = None) -> Host | None:
         """Of some near servers drawn by lot, against herding, the one with the least expected wait."""
         pool = self.near
-        if held:  # those that are near have a connection
-            pool = [h for h in self.near if self._may_go(now, held, h)]
-            pool = pool or [h for h in self.warm if self._may_go(now, held, h)]
+        if pending:  # those that are near have a connection
+            pool = [h for h in self.near if self._may_go(now, pending, h)]
+            pool = pool or [h for h in self.warm if self._may_go(now, pending, h)]
         drawn = min(MOST, max(FEWEST, 4 * len(self.warm) // self.settings.gateways))
         if drawn < len(pool):
             pool = self.random.choices(pool, [h.scale for h in pool], k=drawn)
@@ -224,10 +234,10 @@
                 best, least = host, wait
         return best
 
-    def _may_go(self, now: float, held: Held, host: Host) -> bool:
+    def _may_go(self, now: float, pending: PendingRequest, host: Host) -> bool:
         """Whether a further attempt may go to this server: never to one tried, and within the key's group."""
-        tried = any(a.host.info.id == host.info.id for a in held.attempts)
-        first, cls = held.maybe, self.settings.classes[held.request.cls]
+        tried = any(a.host.info.id == host.info.id for a in pending.attempts)
+        first, cls = pending.may_have_run, self.settings.classes[pending.request.cls]
         if tried or first is None or cls.repeat is Repeat.SAFE:
             return not tried
         if cls.repeat is Repeat.UNSAFE or now >= first.sent_at + cls.key_window:
@@ -246,73 +256,77 @@
         advice = min(wait, self.settings.longest_advice)
         self.actions.append(api.Refuse(refused.request.id, advice))
 
-    def _send(self, now: float, held: Held, host: Host) -> None:
-        host.out[held.request.id, len(held.attempts)] = now
+    def _send(self, now: float, pending: PendingRequest, host: Host) -> None:
+        host.out[pending.request.id, len(pending.attempts)] = now
         self.busy[host] = None
-        held.reservation.restrictor.open += 1
-        held.attempts.append(Attempt(host, now))
-        self.actions.append(api.Send(held.request.id, host.info.id, self._until(now, held)))
+        pending.reservation.restrictor.open += 1
+        pending.attempts.append(Attempt(host, now))
+        self.actions.append(api.Send(pending.request.id, host.info.id, self._until(now, pending)))
 
-    def _until(self, now: float, held: Held) -> float:
+    def _until(self, now: float, pending: PendingRequest) -> float:
         """How long the newest attempt may take: a late one leaves time for another, if there may be one."""
-        cls, usual = self.settings.classes[held.request.cls], self.usual[held.request.cls]
-        last = min(held.request.expires_at, held.arrived + cls.aim) - max(ROOM * usual, LATE)
+        cls, usual = self.settings.classes[pending.request.cls], self.usual[pending.request.cls]
+        last = min(pending.request.expires_at, pending.arrived + cls.aim) - max(ROOM * usual, LATE)
         again = cls.repeat is Repeat.SAFE and not cls.late_worth
-        again = again and len(held.attempts) < self.settings.max_attempts and last - now >= PATIENT * usual
-        return last if again else held.request.expires_at
+        again = again and len(pending.attempts) < self.settings.max_attempts and last - now >= PATIENT * usual
+        return last if again else pending.request.expires_at
 
-    def _close(self, name: str, held: Held) -> None:
-        held.live = False
-        if all(a.done for a in held.attempts):
+    def _close(self, name: str, pending: PendingRequest) -> None:
+        pending.live = False
+        if all(a.done for a in pending.attempts):
             self.requests.pop(name, None)
-            if not held.sent:  # the client left first, or its time was up: it has taken nothing
-                held.reservation.release()
+            if not pending.sent:  # the client left first, or its time was up: it has taken nothing
+                pending.reservation.release()
 
     def _leave(self, now: float, event: api.Abandoned | api.StreamStarted) -> None:
         self.admission.leave(event.request)
-        if held := self.requests.get(event.request):
-            self._close(event.request, held)
+        if pending := self.requests.get(event.request):
+            self._close(event.request, pending)
 
     def _answer(self, now: float, event: api.AttemptDone) -> None:
-        held = self.requests.get(event.request)
-        if held is None or not 0 <= event.attempt < len(held.attempts) or held.attempts[event.attempt].done:
+        pending = self.requests.get(event.request)
+        if (
+            pending is None
+            or not 0 <= event.attempt < len(pending.attempts)
+            or pending.attempts[event.attempt].done
+        ):
             return
-        attempt, restrictor = held.attempts[event.attempt], held.reservation.restrictor
+        attempt, restrictor = pending.attempts[event.attempt], pending.reservation.restrictor
         attempt.done = True
         attempt.host.out.pop((event.request, event.attempt), None)
         if not attempt.host.out:
             self.busy.pop(attempt.host, None)
         restrictor.open -= 1
-        held.sent = held.sent or event.outcome is not Outcome.NOT_SENT
+        pending.sent = pending.sent or event.outcome is not Outcome.NOT_SENT
         if event.usage is not None and 0 <= event.usage < math.inf:
             restrictor.hear(now, event.usage)
         plausible = 0 < (event.units or 0) <= self.settings.most_units and event.units < math.inf
         if self.settings.settles_after and plausible:  # corrects the guess
-            held.reservation.correct(event.units)
-        self._learn(now, held.request.cls, attempt.host, event)
-        if event.finished or not held.live:
-            return self._close(event.request, held)
-        if event.outcome not in NOT_RUN and held.maybe is None:
-            held.maybe = attempt
+            pending.reservation.correct(event.units)
+        self._learn(now, pending.request.cls, attempt.host, event)
+        if event.finished or not pending.live:
+            return self._close(event.request, pending)
+        if event.outcome not in NOT_RUN and pending.may_have_run is None:
+            pending.may_have_run = attempt
         self._sort(now)
-        if self._worth_another(now, held, event.outcome) and (host := self._pick(now, held)):
+        if self._worth_another(now, pending, event.outcome) and (host := self._pick(now, pending)):
             # No connection costs a server nothing; other failures must not double the load.
             self.retries -= event.outcome is not Outcome.CONNECT_FAILED
-            return self._send(now, held, host)
-        cls = self.settings.classes[held.request.cls]
+            return self._send(now, pending, host)
+        cls = self.settings.classes[pending.request.cls]
         harmless = cls.repeat is Repeat.SAFE or (cls.repeat is Repeat.KEYED and cls.group is api.Group.ALL)
-        if harmless or held.maybe is None:
-            self._refuse(Refused(held.request, Reason.ATTEMPTS_USED_UP, self.usual[held.request.cls]))
+        if harmless or pending.may_have_run is None:
+            self._refuse(Refused(pending.request, Reason.ATTEMPTS_USED_UP, self.usual[pending.request.cls]))
         else:
             self.actions.append(api.Fail(event.request))
-        self._close(event.request, held)
+        self._close(event.request, pending)
 
-    def _worth_another(self, now: float, held: Held, outcome: Outcome) -> bool:
-        cls, end = self.settings.classes[held.request.cls], held.request.expires_at
-        end = end if cls.late_worth else min(end, held.arrived + cls.aim)
-        in_time = now + self.usual[held.request.cls] / 2 < end
+    def _worth_another(self, now: float, pending: PendingRequest, outcome: Outcome) -> bool:
+        cls, end = self.settings.classes[pending.request.cls], pending.request.expires_at
+        end = end if cls.late_worth else min(end, pending.arrived + cls.aim)
+        in_time = now + self.usual[pending.request.cls] / 2 < end
         paid = self.retries >= 1 or outcome is Outcome.CONNECT_FAILED
-        return in_time and paid and len(held.attempts) < self.settings.max_attempts
+        return in_time and paid and len(pending.attempts) < self.settings.max_attempts
 
     def _learn(self, now: float, cls: int, host: Host, event: api.AttemptDone) -> None:
         if event.outcome is Outcome.OK:
@@ -340,8 +354,8 @@
                 host.failed(now, FAIL_PAUSE)
         self.mean = sum(self.usual) / len(self.usual)
         told = zip(self.settings.report_fields, event.report, strict=False)
-        if held := [v for name, v in told if name in ("inflight", "queue") and math.isfinite(v)]:
-            host.reported, host.reported_at = max(held), now
+        if loads := [v for name, v in told if name in ("inflight", "queue") and math.isfinite(v)]:
+            host.reported, host.reported_at = max(loads), now
 
     def _tick(self, now: float, event: api.TimerFired) -> None:
         if event.token != 0:
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -52,7 +52,7 @@
     return most if soft == resource.RLIM_INFINITY else min(most, soft)
 
 
-class Held:
+class PendingRequest:
     """A request from its last byte until it is answered and no attempt is out."""
 
     __slots__ = (
@@ -61,7 +61,7 @@
         "attempts",
         "exchange",
         "expires_at",
-        "maybe",
+        "may_have_run",
         "out",
         "timer",
         "timed_out",
@@ -71,7 +71,7 @@
         self.exchange, self.arrival, self.expires_at = exchange, arrival, expires_at
         self.attempts: list[Attempt] = []
         self.out = 0
-        self.answered = self.maybe = self.timed_out = False
+        self.answered = self.may_have_run = self.timed_out = False
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -81,7 +81,7 @@
         self.clock = clock or Clock()
         self.loop = asyncio.get_running_loop()
         self.gateway = Gateway(config.settings, config.seed)
-        self.held: dict[str, Held] = {}
+        self.held: dict[str, PendingRequest] = {}
         self.ready = False
         self.ends_at: float | None = None  # after SIGTERM, when all must be answered
         self.accepting_ended = False
@@ -196,23 +196,23 @@
         elif isinstance(event, api.AttemptDone) and (held := self.held.get(event.request)) and not held.out:
             self._give_up(held)
 
-    def _give_up(self, held: Held | None) -> None:
+    def _give_up(self, held: PendingRequest | None) -> None:
         """The answer that nobody decided: a refusal only if trying again does no harm, else a failure."""
         if held is None or held.answered:
             return
-        if held.maybe and self.settings.classes[held.arrival.cls].repeat is not api.Repeat.SAFE:
+        if held.may_have_run and self.settings.classes[held.arrival.cls].repeat is not api.Repeat.SAFE:
             self._finish(held, 504 if held.timed_out else 502)
         else:
             self._finish(held, 503, retry_after=self.settings.longest_advice)
         self.feed(api.Abandoned(held.arrival.id))
 
-    def _finish(self, held: Held, status: int, **answer: Any) -> None:  # noqa: ANN401
+    def _finish(self, held: PendingRequest, status: int, **answer: Any) -> None:  # noqa: ANN401
         if not held.answered:
             held.answered = True
             held.exchange.reply(status, **answer)
             self._forget(held)
 
-    def _forget(self, held: Held) -> None:
+    def _forget(self, held: PendingRequest) -> None:
         if held.answered and not held.out:
             if held.timer:
                 held.timer.cancel()
@@ -236,7 +236,7 @@
         expires_at = now + max(0.0, patience - ANSWER_ROOM)
         if self.ends_at is not None:
             expires_at = min(expires_at, self.ends_at)
-        held = Held(exchange, arrival, expires_at)
+        held = PendingRequest(exchange, arrival, expires_at)
         exchange.held = held
         self.held[arrival.id] = held
         self.feed(
@@ -260,7 +260,7 @@
             self.feed(api.Abandoned(held.arrival.id))
             self._forget(held)
 
-    def _expire(self, held: Held) -> None:
+    def _expire(self, held: PendingRequest) -> None:
         """The client's time is up: attempts end as timed out, and what is then unanswered is answered."""
         held.expires_at = min(held.expires_at, self.clock.now())  # a drain may have less time: no more sends
         for attempt in list(held.attempts):
@@ -311,7 +311,7 @@
         return endpoint is not None and endpoint.place == chosen.place and not endpoint.leaving
 
     @staticmethod
-    def _payload(held: Held, left: float) -> bytes:
+    def _payload(held: PendingRequest, left: float) -> bytes:
         exchange = held.exchange
         body = exchange.body
         length = b"Content-Length: %d\r\n" % len(body) if body or exchange.method != b"GET" else b""
@@ -324,10 +324,10 @@
             body,
         )
 
-    def _done(self, held: Held, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
+    def _done(self, held: PendingRequest, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
         """An attempt's one outcome; the first whole answer goes to the client at once."""
         held.out -= 1
-        held.maybe = held.maybe or outcome not in NOT_RUN
+        held.may_have_run = held.may_have_run or outcome not in NOT_RUN
         held.timed_out = outcome is Outcome.TIMEOUT
         if outcome is Outcome.OK and answer and not held.answered:
             held.answered = True
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -26,10 +26,9 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 64 * 1024  # bytes before the body of an answer, interim answers among them
 INTERIM = 8  # answers 1xx ahead of the real one
-# s between an answer and the next use of its connection, in which what follows the answer shows up: a second
-# answer, "some milliseconds" later, was measured to come after up to 4 ms. Five times that is still short
-# beside the time that a request takes.
-REST = 0.02
+REST = (
+    0.02  # s between an answer and the next use of its connection: a second answer may follow some ms later
+)
 TIMER = 0.001  # s by which the loop's timers may be early, as it counts whole milliseconds
 MOST_USE, MOST_LOAD = 1000.0, 1e6  # figures past these are not taken for figures
 IDLE_SHARE = 0.8  # of the hosts' idle limit, after which a kept connection is closed on this side
--- a/coralvale/reservation.py
+++ b/coralvale/reservation.py
@@ -47,8 +47,8 @@
             return
         self.released = True
         restrictor = self.restrictor
-        restrictor.uncounted -= self.in_shared  # taken back with the next call
-        restrictor.pool_uncounted -= self.in_pool
+        restrictor.unreported -= self.in_shared  # taken back with the next call
+        restrictor.pool_unreported -= self.in_pool
         restrictor.refund(self.request.units if self.in_bucket else 0.0, self.in_bucket)
         restrictor.refund_ceiling(self.in_ceiling, self.ceiling_most)
 
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -13,9 +13,10 @@
 GROWTH = 0.5  # most a leak rate grows in one step: a doubling takes two steps
 QUIET = 4.0  # s without a reading after which it is stale: the meter's usual lateness twice over
 EASE = 0.25  # share of the way back to the floor in each step without readings
-ASKING = 8.0  # s over which a customer's asking here is averaged: its mean gap there is some seconds
-ASKING_WIDE = 20.0  # s, the same where a gateway hears of a customer so seldom
+DEMAND_MEMORY = 8.0  # s over which a customer's asking here is averaged: its mean gap there is some seconds
+DEMAND_MEMORY_WIDE = 20.0  # s, the same where a gateway hears of a customer so seldom
 LIGHT, HEAVY = 0.4, 1.0  # times its quota that a customer asks for, by what it asks here: surely under, over
+EQUAL_COST = 1.0  # worths: net cost at which letting in wrongly costs as much as refusing wrongly
 SPARSE = 2.0  # times that a request is over the part of the burst where the bucket cannot know
 WIDE = 8  # gateways of a set past which each sees too little of the customer, whatever its burst
 SLACK = 0.25  # share of the burst that a shared bucket may run below empty before it is put right
@@ -48,12 +49,12 @@
         self.passed, self.open = 0.0, 0  # units let through since the last step; attempts out
         self.own = self.own_late = self.use = 0.0  # own_late lags own by as much as readings lag use
         self.reading, self.heard_at = 0.0, -math.inf
-        self.told = 0.0  # mean of the last few readings
-        self.asking, self.asked_at = 0.0, now  # units a second asked for here, refused ones too
-        self.uncounted = 0.0  # units let in here that the shared bucket has not been told of
-        self.full_till = -math.inf  # until when the shared bucket is known to have no room
-        self.pool_till = -math.inf  # the same for the pool of the ceiling
-        self.pool_uncounted = 0.0  # units that the pool has not been told of; below nought: to take back
+        self.recent_use = 0.0  # mean of the last few readings
+        self.demand, self.demand_at = 0.0, now  # units a second asked for here, refused ones too
+        self.unreported = 0.0  # units let in here that the shared bucket has not been told of
+        self.blocked_until = -math.inf  # until when the shared bucket is known to have no room
+        self.pool_blocked_until = -math.inf  # the same for the pool of the ceiling
+        self.pool_unreported = 0.0  # units that the pool has not been told of; below nought: to take back
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
         self.ceiling = min(self.ceiling_burst, self.ceiling_rate * (now - born))
 
@@ -62,7 +63,7 @@
         self.plan, self.entries = plan, max(1, entries)
         self.floor = plan.rate / self.entries
         self.concentration = concentration(self.entries) if self.entries < WIDE else 1.0
-        self.memory = ASKING_WIDE if self.entries >= WIDE else ASKING
+        self.memory = DEMAND_MEMORY_WIDE if self.entries >= WIDE else DEMAND_MEMORY
         share = POOLED if self.may_count and self.entries >= WIDE else 0.0
         self.ceiling_rate, self.ceiling_burst = (
             (1 - share) * plan.ceiling_rate,
@@ -85,30 +86,30 @@
 
     def threshold(self, units: float) -> float:
         """Burst scaled with the leak rate, one request at least; more where letting in wrongly costs less."""
-        # Let in wrongly a request costs c, refused wrongly its worth; the factor is 1 where these are equal.
+        # Let in wrongly a request costs c, refused wrongly its worth.
         cost = self.plan.net_excess_cost
         rate = max(self.plan.rate, 1e-9)
         # One that asks for little overall has the burst to itself, whichever gateway it comes to: a part of
         # it is a request or two, and by chance two that belong together come to the same gateway.
-        asks = self.asking * math.exp((self.asked_at - self.at) / self.memory) * self.entries / rate
+        asks = self.demand * math.exp((self.demand_at - self.at) / self.memory) * self.entries / rate
         asks /= self.concentration
         if self.entries >= WIDE and self.at - self.heard_at < LASTING:
-            asks = (self.told + asks) / 2  # one reading is of half a second, own requests are few
+            asks = (self.recent_use + asks) / 2  # one reading is of half a second, own requests are few
         spare = min(1.0, max(0.0, (HEAVY - asks) / (HEAVY - LIGHT)))
         share = self.rate / rate
-        return max(units, self.plan.burst * (share + spare * (1 - share)) * 2 / (1 + cost))
+        return max(units, self.plan.burst * (share + spare * (1 - share)) * (1 + EQUAL_COST) / (1 + cost))
 
     def hear(self, now: float, reading: float) -> None:
         """Takes down a reading of the meter: the customer's use over all gateways as a share of its rate."""
         reading = min(reading, MOST_USE)
         fresh = now - self.heard_at < LASTING
-        self.told += (SMOOTH if fresh else 1.0) * (reading - self.told)
+        self.recent_use += (SMOOTH if fresh else 1.0) * (reading - self.recent_use)
         self.reading, self.heard_at = reading, now
 
     def note(self, now: float, units: float) -> None:
         """Takes down that the customer has asked, when all has been decided by what it asked before."""
-        self.asking = self.asking * math.exp((self.asked_at - now) / self.memory) + units / self.memory
-        self.asked_at = now
+        self.demand = self.demand * math.exp((self.demand_at - now) / self.memory) + units / self.memory
+        self.demand_at = now
 
     def wait(self, units: float) -> float:
         """Seconds until the bucket has room, 0 when it has it now."""
@@ -132,8 +133,8 @@
         return self.plan.rate > 0 and few
 
     def spent(self, now: float) -> bool:
-        """Whether the shared bucket was full of late: what is let in uncounted would come on top."""
-        return now < self.full_till + KNOWN
+        """Whether the shared bucket was full of late: what is let in unreported would come on top."""
+        return now < self.blocked_until + KNOWN
 
     def soft(self) -> bool:
         """Whether what is let in beyond the quota costs no more than it earns."""
@@ -169,16 +170,16 @@
 
     def tell_let_in(self, units: float) -> float:
         """Notes units let in here for the next call, up to a burst in all; returns how many were noted."""
-        before = self.uncounted
-        self.uncounted = min(before + units, max(before, self.plan.burst))
-        return self.uncounted - before
+        before = self.unreported
+        self.unreported = min(before + units, max(before, self.plan.burst))
+        return self.unreported - before
 
     def tell_later(self, units: float, pool: bool) -> None:
         """Notes units that the next call to the shared bucket, or to the pool, has to carry."""
         if pool:
-            self.pool_uncounted += units
+            self.pool_unreported += units
         else:
-            self.uncounted += units
+            self.unreported += units
 
     def step(self, now: float) -> None:
         """Sets the leak rate: own use times the quota over metered use of the same, late, time."""
--- a/coralvale/shared_quota.py
+++ b/coralvale/shared_quota.py
@@ -17,7 +17,12 @@
 from coralvale.reservation import Reservation
 from coralvale.restrictor import SLACK, Restrictor
 
-NUMBER_LIFETIME = 50.0  # s that a number serves: each new one starts with a full burst; 60 at the most
+NAME_LIFETIME = 60.0  # s that the counter keeps a name, the most that it allows
+NUMBER_LIFETIME = 50.0  # s that a number serves: each new one starts with a full burst
+STARTS = 97  # moments of a lifetime, spread over the customers, at which a new number begins
+LEAST_TIME = 4.0  # counter time-outs that a request must have left to wait for a reply
+LOST_AFTER = 2.0  # counter time-outs after which a reply is taken for lost
+UNDO_ABOVE = 0.5  # share of SLACK below empty, over which a fill-up was made twice
 TRUST_START = 0.75  # trust at the start: all gateways may start at once
 TRUST_ALL = 1.0  # trust from which on all customers are counted
 TRUST_EACH = 2.0  # trust from which on each request is asked about, and not a sample of the small ones
@@ -44,7 +49,7 @@
     name: int
     began: float
     rate: float
-    most: float
+    limit: float
     pool: bool = False  # of a ceiling: a number that is new, or that the counter lost, begins full
 
     @property
@@ -89,8 +94,8 @@
 class SharedQuota:
     """This gateway's calls to the counter: which are made, what their totals mean, how crowded it is."""
 
-    def __init__(self, settings: api.Settings, lot: random.Random) -> None:
-        self.settings, self.lot = settings, lot
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
+        self.settings, self.random = settings, rng
         self.pending: dict[int, deque[PendingCall]] = {}  # by name, in the order in which totals come
         self.waiting: dict[str, Reservation] = {}  # by request: those that a reply will decide on
         # Up to TRUST_ALL it is the share of the customers that are counted; from there on all are.
@@ -103,7 +108,7 @@
 
     def covers(self, now: float, request: api.Request, restrictor: Restrictor) -> bool:
         """Whether the customer is counted, if the request can wait for a reply."""
-        most, since = self.settings.counter_timeout, min(1.0, now - self.updated_at)
+        time_out, since = self.settings.counter_timeout, min(1.0, now - self.updated_at)
         since = 0.0 if self.updated_at == -math.inf else since
         self.updated_at = now
         swing = TRUST_SWING if self.congestion > CONGESTION_BORNE else TRUST_RETURN
@@ -115,7 +120,7 @@
         self.mean_price += PRICE_WEIGHT * (value - self.mean_price) if self.mean_price else value
         # Where not all calls can be made, some customers are counted whole, by all of their gateways alike:
         # a bucket that is told of a part of the use is no better than none.
-        in_time = request.expires_at - now > 4 * most
+        in_time = request.expires_at - now > LEAST_TIME * time_out
         return in_time and request.customer * GOLDEN % 1 * self.mean_price < self.trust * value
 
     def chance(self, units: float) -> float:
@@ -133,7 +138,7 @@
             request.units
         )  # those of one that is not drawn are told by others, in the mean
         chance = self.chance(request.units)
-        if chance < 1 and self.lot.random() >= chance:
+        if chance < 1 and self.random.random() >= chance:
             return []
         plan, (name, began) = restrictor.plan, self._number(now, request.customer)
         bucket = Bucket(name, began, plan.rate, plan.burst)
@@ -147,7 +152,7 @@
     def call_pool(self, now: float, reservation: Reservation) -> Calls:
         """The call that takes a request's units from the pool of a ceiling, if there is one."""
         request, restrictor = reservation.request, reservation.restrictor
-        if not restrictor.pool[0] or request.expires_at - now <= 4 * self.settings.counter_timeout:
+        if not restrictor.pool[0] or request.expires_at - now <= LEAST_TIME * self.settings.counter_timeout:
             return []
         name, began = self._number(now, request.customer + POOLS)
         bucket = Bucket(name, began, *restrictor.pool, pool=True)
@@ -157,12 +162,12 @@
 
     def _number(self, now: float, key: int) -> tuple[int, float]:
         """The number that serves a customer now, and when it began; not all begin at once."""
-        place = now / NUMBER_LIFETIME + key % 97 / 97
+        place = now / NUMBER_LIFETIME + key % STARTS / STARTS
         return key << 24 | int(place) & 0xFFFFFF, now - place % 1 * NUMBER_LIFETIME
 
     def _carry(self, units: float, restrictor: Restrictor, pool: bool) -> float:
         """The amount of a call for so many units and those not told yet, as far as one call bears them."""
-        untold = restrictor.pool_uncounted if pool else restrictor.uncounted
+        untold = restrictor.pool_unreported if pool else restrictor.unreported
         amount = _bounded(units + untold)
         restrictor.tell_later(units - amount, pool)
         return amount
@@ -171,7 +176,7 @@
         self.pending.setdefault(call.bucket.name, deque()).append(call)
         if call.reservation:
             self.waiting[call.reservation.request.id] = call.reservation
-        return api.Count(call.bucket.name, call.amount, 60.0)
+        return api.Count(call.bucket.name, call.amount, NAME_LIFETIME)
 
     # Replies
 
@@ -185,12 +190,12 @@
         if call.request:
             del self.waiting[call.request.id]
         self._book(event, call)
-        congestion, most = 1.0, max(self.settings.counter_timeout, 1e-3)
+        congestion, time_out = 1.0, max(self.settings.counter_timeout, 1e-3)
         if event.ok:
             # Late replies tell of a crowded counter before it fails; calls that fail only crowd it more.
-            took = min(now - call.at, most)
+            took = min(now - call.at, time_out)
             self.least_delay = min(self.least_delay, took)
-            congestion = (took - self.least_delay) / max(most - self.least_delay, 1e-3)
+            congestion = (took - self.least_delay) / max(time_out - self.least_delay, 1e-3)
         self.congestion += CONGESTION_WEIGHT * (congestion - self.congestion)
         return call
 
@@ -217,7 +222,7 @@
         assert call.reservation
         before, calls = self._right(now, event, call)
         bucket, amount = call.bucket, call.amount - call.others
-        wait = max(0.0, max(0.0, before) + amount - max(bucket.most, amount)) / bucket.rate
+        wait = max(0.0, max(0.0, before) + amount - max(bucket.limit, amount)) / bucket.rate
         if wait:  # takes nothing
             units = call.reservation.request.units
             calls.append(self._enqueue(PendingCall(now, bucket, -units, call.restrictor)))
@@ -233,12 +238,15 @@
         assert call.request
         crowded = min(1.0, self.congestion / CONGESTION_BORNE)
         turn = BACKOFF * call.request.units * call.restrictor.entries
-        return crowded * min(call.bucket.most, turn) / call.bucket.rate
+        return crowded * min(call.bucket.limit, turn) / call.bucket.rate
 
     def undo(self, now: float, event: api.CounterReply, call: PendingCall) -> Calls:
         """Takes back what another gateway filled up at the same time."""
         twice = call.fills and has_total(event)
-        if twice and call.bucket.before(now, event.total, call.amount) > -SLACK * call.bucket.most / 2:
+        if (
+            twice
+            and call.bucket.before(now, event.total, call.amount) > -UNDO_ABOVE * SLACK * call.bucket.limit
+        ):
             return [self._enqueue(PendingCall(now, call.bucket, -call.amount, call.restrictor))]
         return []
 
@@ -246,11 +254,11 @@
         """The fill ahead of a call; what an idle customer has not used must not add up."""
         bucket = call.bucket
         before = bucket.before(now, event.total, call.amount)
-        if before >= -SLACK * bucket.most:
+        if before >= -SLACK * bucket.limit:
             return before, []
         # Neither a restart nor a lost number may refill a ceiling.
         is_new = event.total - call.amount <= NEW_NUMBER * abs(call.amount)
-        level = bucket.most if bucket.pool and is_new else 0.0
+        level = bucket.limit if bucket.pool and is_new else 0.0
         amount = _bounded(level - before)
         return level, [self._enqueue(PendingCall(now, bucket, amount, call.restrictor, fills=True))]
 
@@ -261,5 +269,5 @@
 
     def overdue(self, now: float) -> list[int]:
         """Names of calls whose reply was lost, one for each call: their requests must not wait for it."""
-        most = 2 * self.settings.counter_timeout
-        return [name for name, calls in self.pending.items() for call in calls if now - call.at > most]
+        limit = LOST_AFTER * self.settings.counter_timeout
+        return [name for name, calls in self.pending.items() for call in calls if now - call.at > limit]
--- a/coralvale/state.py
+++ b/coralvale/state.py
@@ -36,14 +36,14 @@
 
 
 @dataclass(slots=True)
-class Held:
+class PendingRequest:
     """A request in hand, kept until it is answered and no attempt is out."""
 
     request: api.Request
     arrived: float
     reservation: Reservation
     attempts: list[Attempt] = field(default_factory=list)
-    maybe: Attempt | None = None  # the first attempt that may have run
+    may_have_run: Attempt | None = None  # the first attempt that may have run
     live: bool = True
     sent: bool = False  # an attempt was sent, as far as is known
 
--- a/tests/quota_books.py
+++ b/tests/quota_books.py
@@ -326,8 +326,8 @@
         restrictor = self.gateway.admission.restrictors.get(CUSTOMER)
         if restrictor is None:
             return
-        self._check("quota", self.quota, restrictor.uncounted, self.sent_on(by_pool=False))
-        self._check("pool", self.pool, restrictor.pool_uncounted, self.sent_on(by_pool=True))
+        self._check("quota", self.quota, restrictor.unreported, self.sent_on(by_pool=False))
+        self._check("pool", self.pool, restrictor.pool_unreported, self.sent_on(by_pool=True))
 
     @staticmethod
     def _check(kind: str, account: Account, untold: float, sent_on: float) -> None:
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -321,7 +321,7 @@
         bench.gateway.admission.shared.trust = 1.0
         bench.request(customer=customer, entry_gateways=MANY)
         restrictor = bench.gateway.admission.restrictors[customer]
-        restrictor.fill, restrictor.uncounted = 2 * PLAN.burst, 0.0
+        restrictor.fill, restrictor.unreported = 2 * PLAN.burst, 0.0
         action = bench.request(customer=customer, entry_gateways=MANY)[1][0]
         assert isinstance(action, api.Count | api.Refuse)
         if isinstance(action, api.Count):
@@ -341,7 +341,7 @@
             empty = action.amount + PLAN.rate * (bench.now - began)
             assert [type(a) for a in bench.feed(api.CounterReply(action.name, True, empty))] == [api.Refuse]
             told += action.amount
-        untold += bench.gateway.admission.restrictors[customer].uncounted
+        untold += bench.gateway.admission.restrictors[customer].unreported
     assert untold == -1000.0
     assert 0.9 <= told / 1000 <= 1.1
 
@@ -390,7 +390,7 @@
     _, call = ask(bench)
     assert [type(a) for a in bench.feed(api.CounterReply(call.name, False, 0.0))] == [api.Send]
     name, call = ask(bench)
-    assert call.amount == 2.0  # with that of the one that was let in uncounted
+    assert call.amount == 2.0  # with that of the one that was let in unreported
     bench.feed(api.Abandoned(name))
     bench.feed(api.CounterReply(call.name, True, 2.0))
     assert ask(bench)[1].amount == 0.0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -36,7 +36,7 @@
 from coralvale import interface as api
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
-from coralvale.net.node import BEFORE, FLUSH, Held
+from coralvale.net.node import BEFORE, FLUSH, PendingRequest
 from coralvale.net.server import PIPELINED, SETTLING, Exchange
 from coralvale.net.upstream import REST, Attempt
 
@@ -299,7 +299,7 @@
                 for i in range(1, 20):
                     assert (await client.ask(request(f"r{i}"))).status == 200
                 await w.done(20)
-                left = [o for o in gc.get_objects() if isinstance(o, Held | Attempt | Exchange)]
+                left = [o for o in gc.get_objects() if isinstance(o, PendingRequest | Attempt | Exchange)]
             finally:
                 gc.enable()
             assert len(left) <= 3  # what the frames of the last one may still name
--- a/tests/test_quota_books.py
+++ b/tests/test_quota_books.py
@@ -12,7 +12,7 @@
         bench.leave(bench.request(entry_gateways=GATEWAYS)[0])
     while bench.calls:
         bench.counter(0.0, ok=False)
-    assert bench.gateway.admission.restrictors[1].uncounted >= 0
+    assert bench.gateway.admission.restrictors[1].unreported >= 0
 
 
 def test_a_client_that_leaves_while_the_pool_is_asked_gives_its_quota_back() -> None:
@@ -23,7 +23,7 @@
     bench.counter(call.amount + PLANS[CEILING].rate * (bench.now - began))
     assert len(bench.calls) == 1  # to the pool
     bench.leave(name)
-    assert bench.gateway.admission.restrictors[1].uncounted == -1.0
+    assert bench.gateway.admission.restrictors[1].unreported == -1.0
 
 
 def test_a_refund_gives_back_to_the_ceiling_what_was_taken_from_it() -> None:
--- a/tests/test_quota_faults.py
+++ b/tests/test_quota_faults.py
@@ -32,7 +32,7 @@
     bench.ask()
     bench.feed_total()
     bench.feed_total()  # of the call that takes the refused request's units back
-    assert bench.gateway.admission.restrictors[1].full_till > bench.now
+    assert bench.gateway.admission.restrictors[1].blocked_until > bench.now
     bench.pass_over_number_end()
     name = bench.ask()
     bench.feed_total()
@@ -46,7 +46,7 @@
     bench.feed_total()  # of the quota
     bench.feed_total()  # of the pool
     restrictor = bench.gateway.admission.restrictors[1]
-    assert bench.now < restrictor.pool_till <= bench.now + bench.number_ends_in(pool=True) + 1e-6
+    assert bench.now < restrictor.pool_blocked_until <= bench.now + bench.number_ends_in(pool=True) + 1e-6
 
 
 def test_one_huge_reading_holds_the_leak_rate_down_for_seconds_only() -> None:
@@ -140,7 +140,7 @@
     bench = LedgerBench()
     bench.ask(entries=1)
     restrictor = bench.gateway.admission.restrictors[1]
-    restrictor.uncounted = -2.5 * MOST_AMOUNT
+    restrictor.unreported = -2.5 * MOST_AMOUNT
     amounts = []
     for _ in range(3):
         bench.ask()
--- a/tests/test_quota_input.py
+++ b/tests/test_quota_input.py
@@ -142,11 +142,11 @@
                 assert restrictor.floor - tolerance <= restrictor.rate <= restrictor.plan.rate + tolerance
             else:
                 assert restrictor.rate == 0
-            assert 0 <= restrictor.told <= 1e300 and 0 <= restrictor.use <= 1e300
-            assert 0 <= restrictor.asking <= sum(r.units for r in asked)
+            assert 0 <= restrictor.recent_use <= 1e300 and 0 <= restrictor.use <= 1e300
+            assert 0 <= restrictor.demand <= sum(r.units for r in asked)
             # Bounded by the burst and by the units of what was in hand at once, which is all that was asked.
             units = MOST_UNITS * len(asked)
-            assert -units <= restrictor.uncounted <= LARGEST_BURST + units
+            assert -units <= restrictor.unreported <= LARGEST_BURST + units
             assert math.isfinite(restrictor.ceiling) and restrictor.ceiling <= LARGEST_CEILING
             assert restrictor.open >= 0 and restrictor.passed >= 0 and restrictor.own >= 0
 
@@ -245,7 +245,7 @@
         name, _ = bench.request(entry_gateways=GATEWAYS)
         bench.counter(total)
         assert bench.out() == [name]
-        assert bench.gateway.admission.restrictors[1].full_till == -math.inf
+        assert bench.gateway.admission.restrictors[1].blocked_until == -math.inf
         bench.finish()
 
 
--- a/tests/test_quota_orders.py
+++ b/tests/test_quota_orders.py
@@ -229,4 +229,4 @@
         bench.request(entry_gateways=1)
         bench.wait(0.25)
         restrictor = bench.gateway.admission.restrictors[1]
-    assert restrictor is not None and restrictor.uncounted <= PLAN.burst
+    assert restrictor is not None and restrictor.unreported <= PLAN.burst
--- a/tests/test_restrictor.py
+++ b/tests/test_restrictor.py
@@ -76,7 +76,7 @@
     restrictor = Restrictor(PLAN, 30, now=100.0, born=0.0)
     for at, reading in ((100.0, 0.0), (102.0, 0.4), (104.0, 1.2)):
         restrictor.hear(at, reading)
-    assert 0.5 < restrictor.told < 0.9
+    assert 0.5 < restrictor.recent_use < 0.9
 
 
 def test_one_that_asks_for_little_has_its_burst_also_at_the_gateway_that_it_comes_to_most() -> None:
