End the circle of the quota model's simulation and report

report.py named Try, which simulation.py defined, only for the type checker, as simulation.py imports the figures. Try stands in tries.py now, which both import.

--- a/testbed/quota/report.py
+++ b/testbed/quota/report.py
@@ -4,14 +4,11 @@
 
 import heapq
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from coralvale import interface as api
+from testbed.quota.deployment import Day
 from testbed.quota.services import QuotaStore
-
-if TYPE_CHECKING:
-    from testbed.quota.deployment import Day
-    from testbed.quota.simulation import Try
+from testbed.quota.tries import Try
 
 ROOM = 0.5  # share of the burst that has to be unused for a refusal to count as "with room"
 
--- a/testbed/quota/simulation.py
+++ b/testbed/quota/simulation.py
@@ -6,14 +6,13 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 from coralvale import interface as api
-from testbed.quota.customers import Customer
 from testbed.quota.deployment import Arrival, Day
 from testbed.quota.report import DayFigures, Figures
 from testbed.quota.services import Counter, Meter, QuotaStore
+from testbed.quota.tries import Try
 
 HOSTS = 24  # hosts that all gateways list; the model gives them no limit, so few will do
 START_SPREAD = 1.0  # s over which the gateways start
@@ -27,26 +26,6 @@
         ...
 
 
-@dataclass(slots=True)
-class Try:
-    """One request of a client at one gateway; a client's retry is another."""
-
-    request: api.Request
-    arrival: Arrival
-    gateway: int
-    number: int
-    sent: bool = False
-    settled: bool = False
-    inside: bool = False
-    ended: bool = False
-    attempts: int = 0
-
-    @property
-    def customer(self) -> Customer:
-        """Whose request it is."""
-        return self.arrival.customer
-
-
 class Simulation:
     """Plays one day; `make` builds the decision module of a gateway from its settings and a seed."""
 
--- /dev/null
+++ b/testbed/quota/tries.py
@@ -0,0 +1,29 @@
+"""A request at a gateway as the simulation and its figures know it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from coralvale import interface as api
+from testbed.quota.customers import Customer
+from testbed.quota.deployment import Arrival
+
+
+@dataclass(slots=True)
+class Try:
+    """One request of a client at one gateway; a client's retry is another."""
+
+    request: api.Request
+    arrival: Arrival
+    gateway: int
+    number: int
+    sent: bool = False
+    settled: bool = False
+    inside: bool = False
+    ended: bool = False
+    attempts: int = 0
+
+    @property
+    def customer(self) -> Customer:
+        """Whose request it is."""
+        return self.arrival.customer
