Name the bare numbers of the network code, with a unit each

Defaults of the configuration, the life of a name on the counter, the looks at a watch, the resolution of timers and how many connections are looked at to make room. Values are as before.

--- a/coralvale/net/config.py
+++ b/coralvale/net/config.py
@@ -15,6 +15,15 @@
 Place = tuple[str, float, Address]  # a host: its id, when it started, where it listens
 
 
+LAST_PORT = 65535
+FEWEST_SOCKETS = 64  # descriptors, under which a gateway cannot serve
+# What holds where the file leaves it out.
+SOCKETS = 1024  # descriptors
+CONNECT_TIMEOUT = 0.25  # s
+CONN_IDLE = 15.0  # s
+MOST_HELD = 20_000  # requests
+
+
 class ConfigError(ValueError):
     """The configuration cannot be used; the message is one plain line."""
 
@@ -38,7 +47,7 @@
 
 def read_address(text: str) -> Address:
     host, colon, port = text.rpartition(":")
-    if not (host and colon and port.isdecimal() and int(port) < 65536):
+    if not (host and colon and port.isdecimal() and int(port) <= LAST_PORT):
         raise ValueError(f"{text!r} is no address:port")
     host = host.strip("[]")
     try:
@@ -99,16 +108,16 @@
         discovery=read_address(data["discovery"]),
         counter=read_address(data["counter"]) if data.get("counter") else None,
         seed=int(str(data["seed"]), 16),
-        sockets=int(data.get("limits", {}).get("sockets", 1024)),
+        sockets=int(data.get("limits", {}).get("sockets", SOCKETS)),
         known=data.get("known") or {},
         settings=read_settings(pairs),
         zones=names("zones"),
         kinds=names("skus"),
-        connect_timeout=read_value(pairs, "ceilings.connect_timeout_s", float, 0.25),
-        conn_idle=read_value(pairs, "ceilings.conn_idle_s", float, 15.0),
-        most_held=read_value(pairs, "ceilings.most_held", whole, 20000),
+        connect_timeout=read_value(pairs, "ceilings.connect_timeout_s", float, CONNECT_TIMEOUT),
+        conn_idle=read_value(pairs, "ceilings.conn_idle_s", float, CONN_IDLE),
+        most_held=read_value(pairs, "ceilings.most_held", whole, MOST_HELD),
     )
-    if config.sockets < 64:
+    if config.sockets < FEWEST_SOCKETS:
         raise ValueError(f"limits.sockets: {config.sockets} is under 64")
     for name in ("connect_timeout", "conn_idle", "most_held"):
         if not getattr(config, name) > 0:
--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -16,6 +16,7 @@
 
 LINES = 2  # connections; a name keeps to one, so that its answers come in the order of its calls
 IDLE = 4.0  # s after which an idle one is closed here, well before the counter does at up to 10 s
+LONGEST_LIFE = 60_000  # ms that a name may live
 MAX_BODY = 64  # bytes of a total
 MAX_ANSWER = 4096  # bytes without a whole answer: a head that does not end would fill the memory
 STUCK = 0.5  # s without the answer to the oldest call after which a connection is given up
@@ -50,7 +51,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
 
     def add(self, name: int, amount: float, lifetime: float) -> None:
-        keep = min(60_000, max(1, round(lifetime * 1000)))
+        keep = min(LONGEST_LIFE, max(1, round(lifetime * 1000)))
         host, port = self.address
         text = f"POST /tally/{name}?n={amount:.6f}&keep_ms={keep} HTTP/1.1\r\nHost: {host}:{port}\r\n"
         call = Call(name, f"{text}Content-Length: 0\r\n\r\n".encode())
--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -32,6 +32,7 @@
 JITTER = 0.5  # share by which a pause is longer or shorter
 STEPS = 4  # a try to connect, one for an answer, a pause: together they stay under the drain's own limit
 SHORTEST = 0.1  # s that each of these has however short that limit is: the loop may be late by as much
+LOOK = 0.1  # s between looks at a watch at the least
 MAX_MESSAGE = 8 * 1024 * 1024  # bytes of a list: thousands of hosts, indented
 DEPTH = re.compile(rb'"(?:[^"\\]|\\.)*"|([\[{])|([\]}])')  # strings hold no line ends, but may hold braces
 EMPTY_LINE = re.compile(r"\n[ \t\r]*\n")
@@ -230,7 +231,7 @@
                 watch.silent = True
                 watch.close()
             # No longer than it may be silent: it may be answered, and fall silent, while this waits.
-            await asyncio.wait([watch.lost], timeout=max(min(left, self.silent), 0.1))
+            await asyncio.wait([watch.lost], timeout=max(min(left, self.silent), LOOK))
         useful = watch.heard and not watch.broken
         if watch.answered:  # one that was of use has told all until it was lost
             self.since = loop.time() if useful and not watch.silent else watch.heard_at
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -39,6 +39,8 @@
 FLUSH = 0.1  # s for the last answers to leave
 STEP = 0.05  # s between looks at what a drain has left to do
 MORE_STEPS = 4  # of them after FLUSH while answers are owed: with it they stay within BEFORE
+TIMER = 0.001  # s that the loop's timers tell apart
+LOST_TIMER = 1.0  # s until a timer is due that the module was not known to have set
 RESERVE = 64  # descriptors for all but clients and hosts: listener, watch, counter, logs, the loop's own
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
@@ -190,7 +192,7 @@
     def _recover(self, event: api.Event) -> None:
         """The module failed on an event: its request is answered all the same, its timer set again."""
         if isinstance(event, api.TimerFired):
-            self._set_timer(api.SetTimer(event.token, self.delays.get(event.token, 1.0)))
+            self._set_timer(api.SetTimer(event.token, self.delays.get(event.token, LOST_TIMER)))
         elif isinstance(event, api.Request):
             self._give_up(self.held.get(event.id))
         elif isinstance(event, api.AttemptDone) and (held := self.held.get(event.request)) and not held.out:
@@ -296,7 +298,7 @@
         attempt = Attempt(action.server, endpoint.address, payload, partial(self._done, held), number, now)
         attempt.started_at = endpoint.server.started_at
         held.attempts.append(attempt)
-        if until < held.expires_at - 0.001:
+        if until < held.expires_at - TIMER:
             attempt.timer = self.loop.call_later(
                 max(0.0, until - now), self.upstreams.give_up, attempt, Outcome.TIMEOUT
             )
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -34,7 +34,9 @@
 BACKLOG = 1024  # connections that the kernel accepts for us ahead
 ACCEPTS = 64  # of them taken at once, before others have their turn
 PAUSE = 0.05  # s without accepting after an accept has failed
-SWEEP = 0.25
+SWEEP = 0.25  # s between looks for connections that have to be closed
+LONGEST_IDLE = 8  # connections, those that have stood idle longest, of which one makes room
+SILENT = 64  # connections that are looked at in a crowd for some that have said nothing
 
 REASONS = {
     200: "OK",
@@ -534,13 +536,13 @@
     def _make_room(self) -> bool:
         """Closes the connection that has stood idle longest; a new one is given time to say something."""
         now = time.monotonic()
-        some = list(islice(self.waiting, 8))
+        some = list(islice(self.waiting, LONGEST_IDLE))
         return any(c.close_idle() for c in some if c.asked or now - c.active_at >= SETTLING)
 
     def _close_silent(self) -> int:
         """Closes those that have not said anything in the time that they had for it."""
         now = time.monotonic()
-        some = [c for c in islice(self.waiting, 64) if not c.asked and now - c.active_at >= SETTLING]
+        some = [c for c in islice(self.waiting, SILENT) if not c.asked and now - c.active_at >= SETTLING]
         return sum(connection.close_idle() for connection in some)
 
     def linger(self, connection: ClientConnection) -> None:
