Let no signal interrupt the last milliseconds of a gateway that has served to its end

Cause: uvloop gives its signals their default effects back when it closes, and these end the process while the interpreter is still ending. Excluded: a signal ahead of the loop (the process was 2.6 s old) and a failure in the drain. serve_to_the_end blocks SIGHUP, SIGTERM and SIGINT once all is served, so that they stay pending.

--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -70,6 +70,12 @@
     node.close()
 
 
+async def serve_to_the_end(config: Config, path: str, early: EarlyReload) -> None:
+    """Serves; from then on no signal interrupts what is left: the loop will restore their default effects."""
+    await serve(config, path, early)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+
+
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
     logging.getLogger().handlers[0].addFilter(Sparing())
@@ -81,7 +87,7 @@
         print("coralvale: LB_CONFIG is not set", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(read_config(path), path, early))
+        uvloop.run(serve_to_the_end(read_config(path), path, early))
     except ConfigError as error:
         print(f"coralvale: {error}", file=sys.stderr)
         return 2
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -499,3 +499,30 @@
         run(test())
     finally:
         signal.signal(signal.SIGHUP, before)
+
+
+def test_signals_while_the_interpreter_ends_do_not_spoil_the_end(tmp_path: Path) -> None:
+    """The soak saw a gateway that was ending in order end with code -1: SIGHUP, 0.7 s after SIGTERM.
+
+    The event loop gives its signals their default effects back when it closes, and the interpreter takes some
+    milliseconds more to end.
+    """
+
+    async def test() -> None:
+        registry, port = await Registry(answer(503, b"")).start(), free_port()
+        path = tmp_path / "config.json"
+        path.write_text(
+            json.dumps(config(listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{registry.port}"))
+        )
+        process = await start(path)
+        client = await up(port)
+        process.send_signal(signal.SIGTERM)
+        assert await client.at_end()
+        while process.returncode is None:
+            for number in (signal.SIGHUP, signal.SIGTERM):
+                process.send_signal(number)
+            await asyncio.sleep(0.001)  # those that come faster keep the process from its end
+        assert process.returncode == 0
+        registry.stop()
+
+    run(test())
