Tidy the shared quota's calls and name generators of random numbers by the field's term

One line of SharedQuota.call and the condition of undo had been broken up by the formatter; rng takes the place of lot in the soak and the stand-ins. No behaviour changes.

--- a/coralvale/shared_quota.py
+++ b/coralvale/shared_quota.py
@@ -134,9 +134,8 @@
     def call(self, now: float, reservation: Reservation) -> Calls:
         """The call that shall decide on a counted customer's request, if it is drawn to be asked about."""
         request, restrictor = reservation.request, reservation.restrictor
-        reservation.in_shared = (
-            request.units
-        )  # those of one that is not drawn are told by others, in the mean
+        # Units of a request that is not drawn are in the mean told by those that stand for it.
+        reservation.in_shared = request.units
         chance = self.chance(request.units)
         if chance < 1 and self.random.random() >= chance:
             return []
@@ -242,13 +241,12 @@
 
     def undo(self, now: float, event: api.CounterReply, call: PendingCall) -> Calls:
         """Takes back what another gateway filled up at the same time."""
-        twice = call.fills and has_total(event)
-        if (
-            twice
-            and call.bucket.before(now, event.total, call.amount) > -UNDO_ABOVE * SLACK * call.bucket.limit
-        ):
-            return [self._enqueue(PendingCall(now, call.bucket, -call.amount, call.restrictor))]
-        return []
+        if not (call.fills and has_total(event)):
+            return []
+        bucket = call.bucket
+        if bucket.before(now, event.total, call.amount) <= -UNDO_ABOVE * SLACK * bucket.limit:
+            return []
+        return [self._enqueue(PendingCall(now, bucket, -call.amount, call.restrictor))]
 
     def _right(self, now: float, event: api.CounterReply, call: PendingCall) -> tuple[float, Calls]:
         """The fill ahead of a call; what an idle customer has not used must not add up."""
--- a/testbed/soak/clients.py
+++ b/testbed/soak/clients.py
@@ -78,10 +78,10 @@
         gateways: list[GatewayProcess],
         spread: int,
         patience: float,
-        lot: random.Random,
+        rng: random.Random,
         note: Callable[[r.AnyEntry], None],
     ) -> None:
-        self.gateways, self.spread, self.patience, self.lot, self.note = gateways, spread, patience, lot, note
+        self.gateways, self.spread, self.patience, self.rng, self.note = gateways, spread, patience, rng, note
         self.idle: list[Connection] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.serial = 0
@@ -89,26 +89,26 @@
     def draw(self) -> Request:
         """The next request."""
         self.serial += 1
-        lot = self.lot
-        books, leaves = lot.random() < 0.25, lot.random() < LEAVES
-        patience = lot.uniform(0.3, 1.0) * self.patience
-        if lot.random() < HURRIED:
-            patience = lot.uniform(0.01, 0.1)
+        rng = self.rng
+        books, leaves = rng.random() < 0.25, rng.random() < LEAVES
+        patience = rng.uniform(0.3, 1.0) * self.patience
+        if rng.random() < HURRIED:
+            patience = rng.uniform(0.01, 0.1)
         return Request(
             id=f"q{self.serial}",
-            repeat=lot.choice(REPEATS),
-            plan=PLANS[0] if books else lot.choice(PLANS),
-            customer=lot.choice(BOOKS_CUSTOMERS if books else OTHER_CUSTOMERS),
-            units=lot.choice((1, 1, 2, 4)),
+            repeat=rng.choice(REPEATS),
+            plan=PLANS[0] if books else rng.choice(PLANS),
+            customer=rng.choice(BOOKS_CUSTOMERS if books else OTHER_CUSTOMERS),
+            units=rng.choice((1, 1, 2, 4)),
             patience=patience,
-            leaves_after=lot.uniform(0.0, lot.choice((0.03, 0.8))) * patience if leaves else None,
+            leaves_after=rng.uniform(0.0, rng.choice((0.03, 0.8))) * patience if leaves else None,
         )
 
     async def send_for(self, seconds: float, per_second: float) -> None:
         """Sends requests at random times, whatever becomes of those before."""
         end = time.monotonic() + seconds
         due = time.monotonic()
-        while (due := due + self.lot.expovariate(per_second)) < end:
+        while (due := due + self.rng.expovariate(per_second)) < end:
             await asyncio.sleep(max(0.0, due - time.monotonic()))
             self.start(self.draw())
 
@@ -141,13 +141,13 @@
         if not only_new:
             kept = [c for c in self.idle if c.gateway.index == 0 or not pinned]
             while kept:
-                connection = kept.pop(self.lot.randrange(len(kept)))
+                connection = kept.pop(self.rng.randrange(len(kept)))
                 self.idle.remove(connection)
                 if connection.is_open:
                     return connection
                 connection.writer.close()
         open_gateways = [g for g in self.gateways if self._takes_new(g) and (g.index == 0 or not pinned)]
-        self.lot.shuffle(open_gateways)
+        self.rng.shuffle(open_gateways)
         for gateway in open_gateways:
             with contextlib.suppress(OSError, TimeoutError):
                 async with asyncio.timeout(1.0):
--- a/testbed/soak/plan.py
+++ b/testbed/soak/plan.py
@@ -65,55 +65,55 @@
 
 def draw(seed: int, seconds: float) -> Plan:
     """The run of a seed; `seconds` is how long its clients send."""
-    lot = random.Random(seed)
-    gateways, hosts = 3, lot.randint(5, 8)
-    patience = lot.choice(PATIENCES)
+    rng = random.Random(seed)
+    gateways, hosts = 3, rng.randint(5, 8)
+    patience = rng.choice(PATIENCES)
     plan = Plan(
         seed=seed,
         seconds=seconds,
         patience=patience,
         gateways=gateways,
         hosts=hosts,
-        requests_per_second=lot.uniform(40.0, 120.0),
-        whole_lists=lot.random() < 0.3,
-        drain_grace=lot.choice((1.0, 2.0)),
-        uncertain_calls=lot.random() < 0.5,
+        requests_per_second=rng.uniform(40.0, 120.0),
+        whole_lists=rng.random() < 0.3,
+        drain_grace=rng.choice((1.0, 2.0)),
+        uncertain_calls=rng.random() < 0.5,
         events=(),
     )
-    events = [*_signals(lot, plan), *_host_troubles(lot, plan), *_other_troubles(lot, plan)]
+    events = [*_signals(rng, plan), *_host_troubles(rng, plan), *_other_troubles(rng, plan)]
     return Plan(
         **{name: getattr(plan, name) for name in Plan.__slots__ if name != "events"},
         events=tuple(sorted(events, key=lambda event: event.at)),
     )
 
 
-def _moment(lot: random.Random, plan: Plan) -> float:
-    return lot.uniform(QUIET_START, max(QUIET_START, plan.seconds))
+def _moment(rng: random.Random, plan: Plan) -> float:
+    return rng.uniform(QUIET_START, max(QUIET_START, plan.seconds))
 
 
-def _signals(lot: random.Random, plan: Plan) -> list[Event]:
+def _signals(rng: random.Random, plan: Plan) -> list[Event]:
     """Restarts of all gateways but the first, in series, with reloads and stalls close to them."""
     events = []
     for gateway in range(1, plan.gateways):
-        at = lot.uniform(QUIET_START, max(QUIET_START, plan.seconds / 3))
+        at = rng.uniform(QUIET_START, max(QUIET_START, plan.seconds / 3))
         while at < plan.seconds:
-            trouble = Trouble.KILL if lot.random() < 0.2 else Trouble.RESTART
+            trouble = Trouble.KILL if rng.random() < 0.2 else Trouble.RESTART
             events.append(Event(at, trouble, gateway))
-            for _ in range(lot.choice((0, 0, 1, 2))):
-                events.append(Event(at + lot.uniform(-0.3, 1.0), Trouble.RELOAD, gateway))
-            for _ in range(lot.choice((0, 1, 2, 3))):
-                stall = lot.uniform(0.05, LONGEST_STALL)
-                events.append(Event(at + lot.uniform(0.0, plan.kill_after), Trouble.STALL, gateway, stall))
-            at += plan.kill_after + lot.uniform(2.0, 5.0)
-    for _ in range(lot.choice((0, 1, 2))):
-        events.append(Event(_moment(lot, plan), Trouble.RELOAD, 0))
-    for _ in range(lot.randint(0, 4)):
-        stall = lot.uniform(0.02, LONGEST_STALL)
-        events.append(Event(_moment(lot, plan), Trouble.STALL, lot.randrange(plan.gateways), stall))
+            for _ in range(rng.choice((0, 0, 1, 2))):
+                events.append(Event(at + rng.uniform(-0.3, 1.0), Trouble.RELOAD, gateway))
+            for _ in range(rng.choice((0, 1, 2, 3))):
+                stall = rng.uniform(0.05, LONGEST_STALL)
+                events.append(Event(at + rng.uniform(0.0, plan.kill_after), Trouble.STALL, gateway, stall))
+            at += plan.kill_after + rng.uniform(2.0, 5.0)
+    for _ in range(rng.choice((0, 1, 2))):
+        events.append(Event(_moment(rng, plan), Trouble.RELOAD, 0))
+    for _ in range(rng.randint(0, 4)):
+        stall = rng.uniform(0.02, LONGEST_STALL)
+        events.append(Event(_moment(rng, plan), Trouble.STALL, rng.randrange(plan.gateways), stall))
     return [event for event in events if event.at >= 0]
 
 
-def _host_troubles(lot: random.Random, plan: Plan) -> list[Event]:
+def _host_troubles(rng: random.Random, plan: Plan) -> list[Event]:
     """Troubles of some hosts; two at least have none, so that something is served."""
     kinds = (
         Trouble.HOST_DRAINS, Trouble.HOST_HANGS, Trouble.HOST_RESETS, Trouble.HOST_TURNS_AWAY,
@@ -121,20 +121,20 @@
     )  # fmt: skip
     events = []
     for host in range(2, plan.hosts):
-        for _ in range(lot.choice((0, 1, 1, 2))):
-            events.append(Event(_moment(lot, plan), lot.choice(kinds), host, lot.uniform(0.5, 4.0)))
+        for _ in range(rng.choice((0, 1, 1, 2))):
+            events.append(Event(_moment(rng, plan), rng.choice(kinds), host, rng.uniform(0.5, 4.0)))
     return events
 
 
-def _other_troubles(lot: random.Random, plan: Plan) -> list[Event]:
+def _other_troubles(rng: random.Random, plan: Plan) -> list[Event]:
     events = []
-    if lot.random() < 0.5:
-        events.append(Event(_moment(lot, plan), Trouble.WATCHES_SILENT))
-    if lot.random() < 0.4:
-        events.append(Event(_moment(lot, plan), Trouble.DISCOVERY_DOWN, seconds=lot.uniform(0.5, 4.0)))
-    for _ in range(lot.choice((1, 2, 3))):
-        events.append(Event(_moment(lot, plan), Trouble.COUNTER_TROUBLE, seconds=lot.uniform(1.0, 4.0)))
-    if lot.random() < CROWD_SHARE:
-        target = lot.randrange(plan.gateways)
-        events.append(Event(_moment(lot, plan), Trouble.CROWD, target, lot.uniform(1.0, 4.0)))
+    if rng.random() < 0.5:
+        events.append(Event(_moment(rng, plan), Trouble.WATCHES_SILENT))
+    if rng.random() < 0.4:
+        events.append(Event(_moment(rng, plan), Trouble.DISCOVERY_DOWN, seconds=rng.uniform(0.5, 4.0)))
+    for _ in range(rng.choice((1, 2, 3))):
+        events.append(Event(_moment(rng, plan), Trouble.COUNTER_TROUBLE, seconds=rng.uniform(1.0, 4.0)))
+    if rng.random() < CROWD_SHARE:
+        target = rng.randrange(plan.gateways)
+        events.append(Event(_moment(rng, plan), Trouble.CROWD, target, rng.uniform(1.0, 4.0)))
     return events
--- a/testbed/soak/run.py
+++ b/testbed/soak/run.py
@@ -40,7 +40,7 @@
 
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.plan, self.folder = plan, folder
-        self.lot = random.Random(plan.seed + 1)
+        self.rng = random.Random(plan.seed + 1)
         conditions = r.Conditions(
             plan.seed, plan.drain_grace, KEY_WINDOW, plan.patience, tuple(BOOKS_CUSTOMERS)
         )
@@ -62,7 +62,7 @@
         """Starts everything, plays the plan, looks at what is left, and ends everything."""
         try:
             await self._start()
-            clients = Clients(self.gateways, SPREAD, self.plan.patience, self.lot, self.note)
+            clients = Clients(self.gateways, SPREAD, self.plan.patience, self.rng, self.note)
             begin = time.monotonic()
             for event in self.plan.events:
                 self._spawn(self._happen(begin, event))
@@ -188,7 +188,7 @@
         self.note(r.HostTold(time.monotonic(), gateway, host, status))  # type: ignore[arg-type]
 
     def _service_time(self) -> float:
-        return self.lot.uniform(LEAST_SERVICE, MOST_SERVICE)
+        return self.rng.uniform(LEAST_SERVICE, MOST_SERVICE)
 
     def _arrived(self, host: Host, arrival: Arrival) -> None:
         patience = float(arrival.message.headers.get(b"x-timeout", b"0"))
@@ -203,13 +203,13 @@
 
     def _fate(self) -> Fate:
         if time.monotonic() < self.counter_trouble_until:
-            return self.lot.choice(list(Fate) if self.plan.uncertain_calls else CERTAIN_FATES)
+            return self.rng.choice(list(Fate) if self.plan.uncertain_calls else CERTAIN_FATES)
         return Fate.ADDED
 
     def _counter_delay(self) -> float:
         """A counter in trouble is slow as well, so that clients leave while it is asked."""
         in_trouble = time.monotonic() < self.counter_trouble_until
-        return self.lot.uniform(0.0, SLOW_CALL) if in_trouble else 0.0
+        return self.rng.uniform(0.0, SLOW_CALL) if in_trouble else 0.0
 
     def _called(self, call: Call) -> None:
         is_certain = call.fate.is_certain and call.waited < SURELY_IN_TIME  # else the gateway gave up first
@@ -246,13 +246,13 @@
         """A planned restart: SIGTERM, new connections for a while, the kill at its earliest, a new start."""
         if not gateway.is_ready:
             return
-        gateway.new_connections_until = time.monotonic() + self.lot.uniform(*NEW_CLIENTS)
+        gateway.new_connections_until = time.monotonic() + self.rng.uniform(*NEW_CLIENTS)
         gateway.signal("SIGTERM")
         kill_at = time.monotonic() + self.plan.kill_after
         if not await gateway.wait(self.plan.kill_after):
             gateway.signal("SIGKILL", planned=True)
             await gateway.wait(1.0)
-        await asyncio.sleep(max(0.0, kill_at - time.monotonic()) * self.lot.choice((0.0, 1.0)))
+        await asyncio.sleep(max(0.0, kill_at - time.monotonic()) * self.rng.choice((0.0, 1.0)))
         await gateway.start()
 
     async def _kill(self, gateway: GatewayProcess) -> None:
--- a/testbed/standins/ports.py
+++ b/testbed/standins/ports.py
@@ -10,9 +10,9 @@
 
 def free_port() -> int:
     """A port on loopback that nobody has now; raises OSError where none is found."""
-    lot = random.SystemRandom()
+    rng = random.SystemRandom()
     for _ in range(LAST - FIRST):
-        port = lot.randint(FIRST, LAST)
+        port = rng.randint(FIRST, LAST)
         with socket.socket() as free:
             try:
                 free.bind(("127.0.0.1", port))
