--- a/review/3/hold.py
+++ b/review/3/hold.py
@@ -31,5 +31,5 @@
 
 
 if __name__ == "__main__":
-    sys.stdin.readline()
-    print(hold(int(sys.argv[1]), float(sys.argv[2]), [int(each) for each in sys.argv[3:]]), flush=True)
+    if sys.stdin.readline():  # else the case has ended
+        print(hold(int(sys.argv[1]), float(sys.argv[2]), [int(each) for each in sys.argv[3:]]), flush=True)
