--- a/review/play.py
+++ b/review/play.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -160,18 +161,53 @@
     behave: Behaviour
     port: int = 0
     seen: list[Arrival] = field(default_factory=list)
+    idle_limit: float | None = None  # s after which it closes an idle connection
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    fillers: list[socket.socket] = field(default_factory=list)
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = int(self.server.sockets[0].getsockname()[1])
+        self.socket = socket.socket()
+        self.socket.setblocking(False)
+        self.socket.bind(("127.0.0.1", self.port))
+        self.port = int(self.socket.getsockname()[1])
+        self.end_delay()
+
+    async def _accept(self) -> None:
+        while True:
+            accepted, _ = await asyncio.get_running_loop().sock_accept(self.socket)
+            reader, writer = await asyncio.open_connection(sock=accepted)
+            task = asyncio.create_task(self._serve(reader, writer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def delay_connections(self) -> None:
+        """From now on new connections do not come up: a full backlog answers no SYN.
+
+        The kernel of the other side tries again after 1 s, so they come up late if this ends before.
+        """
+        self.accepting.cancel()
+        self.socket.listen(0)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self.fillers.append(filler)
+
+    def end_delay(self) -> None:
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        self.socket.listen(100)
+        self.accepting = asyncio.create_task(self._accept())
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         try:
-            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
                 while True:
-                    message = parse_head(await reader.readuntil(b"\r\n\r\n"))
+                    async with asyncio.timeout(self.idle_limit):
+                        message = parse_head(await reader.readuntil(b"\r\n\r\n"))
                     message.body = await reader.readexactly(int(message.headers.get(b"content-length", b"0")))
                     arrival = Arrival(self.name, message, time.monotonic(), writer)
                     self.seen.append(arrival)
@@ -184,14 +220,19 @@
 
     def crash(self) -> None:
         """Ends as a process that dies: resets its connections and refuses new ones."""
-        self.server.close()
+        self.accepting.cancel()
+        self.socket.close()
+        for filler in self.fillers:
+            filler.close()
         for writer in list(self.writers):
             writer.transport.abort()
+        for task in list(self.tasks):
+            task.cancel()
 
 
-def served(arrival: Arrival, **headers: str) -> bytes:
+def served(arrival: Arrival) -> bytes:
     """The answer that a host makes for a request; its body names the request."""
-    return http_response(200, f"made for {arrival.id}".encode(), **headers)
+    return http_response(200, f"made for {arrival.id}".encode())
 
 
 def serve_after(seconds: float) -> Behaviour:
@@ -222,12 +263,12 @@
                 self.process.send_signal(number)
 
     def rss_mb(self) -> float:
-        """The resident memory of the process in MB, 0 if it has ended."""
+        """The resident memory of the process in MiB, 0 if it has ended."""
         try:
             pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
         except (OSError, IndexError):
             return 0.0
-        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+        return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
 
 
 @dataclass
