Parse Quota-Info in time linear in its length

Cause: ParsedRequest searched the value with ([a-z]+)=([^,; ]*). From each letter the search takes the rest of the run and goes back letter by letter. The search alone takes 9, 37, 142, 527 ms for 2,000, 4,000, 8,000, 15,500 letters. Nothing else runs in the loop meanwhile.

Excluded by a probe of a real gateway (processor time of one request of 15,000 bytes): twelve other headers and the target, 17 patterns each, take at most 1.3 ms, with the same parser, 400 and close; Quota-Info of letters 780 ms.

Change: the value is split at its separators, and each field at its first "=". Each byte is looked at a fixed number of times: 0.06 ms for 15,500 letters. A usual value takes 0.78 us as before. A name is now the whole text before "=", where the search also took the letters at its end; a tab separates as well.

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -60,7 +60,7 @@
 }  # fmt: skip
 CLIENT_COOKIE = re.compile(rb"(?:^|;)\s*client=([^;]*)")
 CUSTOMER_HEX = re.compile(rb"[0-9a-fA-F]{16}")
-KEY_VALUE = re.compile(rb"([a-z]+)=([^,; ]*)")
+QUOTA_FIELD_SEPARATORS = re.compile(rb"[,; \t]")
 REQUEST_ID = re.compile(rb"[!-~]{1,128}")
 NUMBER = re.compile(rb"(\d{1,15}(\.\d*)?|\.\d+)")
 
@@ -167,7 +167,7 @@
         if self.customer >= 2**33:
             raise BadRequest("cookie: the client is too large a number")
         self.timeout = parse_positive("x-timeout", required(b"x-timeout"))
-        quota = dict(KEY_VALUE.findall(required(b"quota-info")))
+        quota = parse_quota_info(required(b"quota-info"))
         # Units fill the customer's bucket, ceiling and counter entries: clients must not choose them freely.
         self.units = parse_positive("quota-info units", quota.get(b"units", b""))
         if not 1 <= self.units <= settings.max_units:
@@ -181,6 +181,12 @@
         )
 
 
+def parse_quota_info(value: bytes) -> dict[bytes, bytes]:
+    """The `name=value` fields of `Quota-Info`, the last of each name; takes time linear in the length."""
+    fields = (field.partition(b"=") for field in QUOTA_FIELD_SEPARATORS.split(value))
+    return {name: text for name, _, text in fields}
+
+
 def parse_positive(name: str, text: bytes) -> float:
     value = float(text) if NUMBER.fullmatch(text) else 0.0
     if not 0 < value < math.inf:
