Count every byte of a host's response against a limit

Cause: HostConnection._parse added to head_bytes only until the head was complete, and on_body counted the body alone. Size lines of chunks, their extensions and trailer fields counted against nothing, and on_header kept each trailer field as a header.

Change: MessageSize counts all bytes received and takes off the body as the parser reports it, with 20 bytes for the framing of a chunk; what is left has the limit that the head had, 64 KiB, whichever part goes on. So nothing that the parser may hold back grows past it. Trailer fields are not kept, and so not passed on nor read as reports.

Tests: six of the fourteen parts of test_a_response_that_does_not_end_fails_in_whichever_part_it_goes_on failed before, as did the test of a response with trailers.

--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -22,9 +22,10 @@
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address, HostInstance
+from coralvale.net.message_size import MessageSize
 
 MAX_BODY_BYTES = 64 * 1024  # of a response
-MAX_HEAD_BYTES = 64 * 1024  # of a response before its body, with its interim responses
+MAX_OVERHEAD_BYTES = 64 * 1024  # of a response besides its body, with its interim responses
 MAX_INTERIM_RESPONSES = 8  # with status 1xx, ahead of the final one
 REUSE_DELAY_S = 0.02  # from a response to the next request: a stray second response may follow some ms later
 TIMER_RESOLUTION_S = 0.001  # by which timers may fire early, as the loop counts whole milliseconds
@@ -101,13 +102,15 @@
         self.idle_since = self.idle_time = 0.0
         self.has_been_idle = False  # whether it has been idle in the pool
         self.write_pending = self.response_complete = self.keep_alive = False
+        self.size = MessageSize(MAX_OVERHEAD_BYTES, MAX_BODY_BYTES)
         self._reset_response()
 
     def _reset_response(self) -> None:
         self.headers: list[tuple[bytes, bytes]] = []
         self.body_chunks: list[bytes] = []
-        self.body_bytes = self.status = self.head_bytes = self.interim_count = 0
-        self.in_body = False
+        self.status = self.interim_count = 0
+        self.head_complete = False  # of the final response
+        self.size.reset()
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
         self.transport = transport
@@ -158,8 +161,7 @@
             self._finish(Outcome.ERROR)
 
     def _parse(self, data: bytes) -> None:
-        if not self.in_body:
-            self.head_bytes += len(data)
+        self.size.add_received(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -169,7 +171,7 @@
                 return
         if self.response_complete:
             self._complete_response()
-        elif self.body_bytes > MAX_BODY_BYTES or (not self.in_body and self.head_bytes > MAX_HEAD_BYTES):
+        elif self.size.overhead_exceeded or self.size.body_exceeded:
             self._finish(Outcome.ERROR)
 
     def on_message_begin(self) -> None:
@@ -177,13 +179,13 @@
             self.keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.response_complete:
+        if not (self.response_complete or self.head_complete):  # trailer fields are not kept
             self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         if self.response_complete or self.parser.get_status_code() < 200:
             return
-        self.in_body = True
+        self.head_complete = True
         for name, value in self.headers:
             if name.lower() == b"content-length" and (len(value) > 6 or int(value) > MAX_BODY_BYTES):
                 raise ValueError("body too large")  # rather than wait for 3 GB to arrive
@@ -191,7 +193,7 @@
     def on_body(self, body: bytes) -> None:
         if not self.response_complete:
             self.body_chunks.append(body)
-            self.body_bytes += len(body)
+            self.size.add_body(body)
 
     def on_message_complete(self) -> None:
         if self.response_complete:
@@ -225,7 +227,7 @@
                 response.load_report = parse_load_report(value, self.pool.upstreams.load_report_fields)
             elif lower not in HEADERS_NOT_FORWARDED:
                 response.headers.append((name, value))
-        if status == 200 and self.body_bytes <= MAX_BODY_BYTES:
+        if status == 200 and not self.size.body_exceeded:
             outcome = Outcome.OK
         elif status in (503, 504) and not_processed:
             outcome = Outcome.FULL
@@ -263,7 +265,7 @@
 
     def _mark_broken(self, attempt: Attempt) -> None:
         attempt.connection_broken = True
-        if self.has_been_idle and not self.head_bytes:
+        if self.has_been_idle and not self.size.received:
             self.pool.upstreams.idle_limit.record(self.idle_time, True)
 
 
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -6,14 +6,30 @@
 import time
 
 import pytest
-from net_helpers import host_entry, request, run, running_gateway
+from net_helpers import host_entry, request, run, running_gateway, with_timeout
+from upstream_helpers import harness
 
 from coralvale import interface as api
+from coralvale.interface import Outcome
 
 MAX_LOOP_HOLD_S = 0.02  # of processor time, for which one message may hold up the event loop
 TRIES = 3  # of which the fastest counts, as other work may fall into one of them
 LONG_VALUE_BYTES = 15_000  # just within the limit on a request's head
-PATTERNS = (b"a", b"1", b"0", b".", b"=", b",", b";", b"; ", b" ", b"a=", b"units=1,", b"; client", b"client=;")
+PATTERNS = (
+    b"a",
+    b"1",
+    b"0",
+    b".",
+    b"=",
+    b",",
+    b";",
+    b"; ",
+    b" ",
+    b"a=",
+    b"units=1,",
+    b"; client",
+    b"client=;",
+)
 
 
 @pytest.mark.parametrize(
@@ -61,3 +77,60 @@
             assert (event.units, event.entry_gateways) == (1.0, 2)
 
     run(test())
+
+
+RESPONSE = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_RESPONSE = RESPONSE + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_BYTES = 500_000  # sent of a message that does not end, well beyond each limit on its size
+
+
+def endless(start: bytes, block: bytes) -> bytes:
+    return start + block * (ENDLESS_BYTES // len(block))
+
+
+@pytest.mark.parametrize(
+    ("start", "block"),
+    [
+        pytest.param(b"", b"\r\n", id="empty lines ahead of it"),
+        pytest.param(b"HTTP/1.1 200 ", b"x", id="reason phrase"),
+        pytest.param(RESPONSE, b"x", id="header name"),
+        pytest.param(RESPONSE + b"A: ", b"x", id="header value"),
+        pytest.param(RESPONSE, b"a: b\r\n", id="headers"),
+        pytest.param(b"HTTP/1.1 102 x\r\n", b"a: b\r\n", id="headers of an interim response"),
+        pytest.param(RESPONSE + b"\r\n", b"x", id="body"),
+        pytest.param(CHUNKED_RESPONSE, b"1\r\nx\r\n", id="chunks"),
+        pytest.param(CHUNKED_RESPONSE, b"0", id="chunk size"),
+        pytest.param(CHUNKED_RESPONSE + b"1;", b"x", id="chunk extension"),
+        pytest.param(CHUNKED_RESPONSE, b"1;" + b"x" * 3000 + b"\r\nx\r\n", id="chunk extensions"),
+        pytest.param(CHUNKED_RESPONSE + b"2\r\nok\r\n0\r\n", b"x", id="trailer name"),
+        pytest.param(CHUNKED_RESPONSE + b"2\r\nok\r\n0\r\na: ", b"x", id="trailer value"),
+        pytest.param(CHUNKED_RESPONSE + b"2\r\nok\r\n0\r\n", b"a: b\r\n", id="trailers"),
+    ],
+)
+def test_a_response_that_does_not_end_fails_in_whichever_part_it_goes_on(start: bytes, block: bytes) -> None:
+    # Guards against bytes of a host that count against no limit and fill the memory.
+
+    async def test() -> None:
+        async with harness(auto=endless(start, block)) as h:
+            h.send()
+            assert await h.outcome() is Outcome.ERROR
+            assert h.upstreams.open_count == 0
+
+    run(test())
+
+
+def test_a_response_in_single_byte_chunks_with_trailers_is_passed_on_without_them() -> None:
+    body = bytes(range(65, 91)) * 2000
+    chunks = b"".join(b"1;x=y\r\n%c\r\n" % byte for byte in body)
+    response = CHUNKED_RESPONSE.replace(b"\r\n\r\n", b"\r\nKept: 1\r\n\r\n") + chunks
+    response += b"0\r\nUsage-Percent: 50\r\n" + b"Other: x\r\n" * 10 + b"\r\n"
+
+    async def test() -> None:
+        async with harness(auto=response) as h:
+            h.send()
+            _, outcome, received = await with_timeout(h.ended.get())
+            assert outcome is Outcome.OK and received and received.body == body
+            assert received.headers == [(b"Kept", b"1")] and received.usage is None
+            assert len(h.upstreams.connections) == 1  # kept for the next request
+
+    run(test())
