Count every byte of a client's request against a limit

Cause: ClientConnection.data_received added to head_bytes only until the head was complete and compared it only while a request had begun; on_header is not called for a line that does not end, which the parser keeps.

Excluded by the probe (60 MB each, closed after what the sockets hold): target, headers, body, whole trailer fields. Chunk sizes, extensions and empty lines ahead of a request took no memory, but were read without a limit.

Change: MessageSize counts all bytes received less those of the body and of usual chunk framing; the limit of 16 KiB, which the head had, is for all of these. Trailer fields count and are dropped: they were passed on as headers, and one named like a header of the request made it invalid.

Tests: six of the thirteen parts of test_a_request_that_does_not_end_is_answered_in_whichever_part_it_goes_on and the test of a request with trailers failed before.

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -18,11 +18,12 @@
 
 from coralvale import interface as api
 from coralvale.net.config import Address
+from coralvale.net.message_size import MessageSize
 
 log = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 64 * 1024  # of a request
-MAX_HEAD_BYTES = 16 * 1024  # of a request's request line and headers
+MAX_OVERHEAD_BYTES = 16 * 1024  # of a request besides its body, such as its request line and headers
 MAX_PIPELINED_REQUESTS = 16  # unanswered requests on a connection at which reading from it pauses
 REQUEST_READ_TIMEOUT_S = 2.0  # for a request to arrive in full, or a new connection to send its first one
 LINGER_S = 1.0  # for the last response to reach a client that still sends, before its connection is aborted
@@ -231,10 +232,9 @@
         self.last_active_at = self.opened_at = time.monotonic()
         self.request_started_at = 0.0
         self.has_sent_request = False  # whether a request has been received in full
-        # parsed_bytes: size of the incoming request's header names and values parsed so far, or of its body;
-        # head_bytes: bytes received since the last complete request while not in a body, parsed or not.
-        self.parsed_bytes = self.head_bytes = 0
-        self.in_body = False
+        self.size = MessageSize(MAX_OVERHEAD_BYTES, MAX_BODY_BYTES)  # since the last complete request
+        self.header_bytes = 0  # of the incoming request's header names and values, as parsed so far
+        self.head_complete = False  # of the incoming request
         self.error_status = 0  # status of the error response that ends this connection
         self.reading_paused = self.closing = False  # closing: nothing more is read or answered
         self.write_blocked_since: float | None = None  # since when the write buffer has been full
@@ -253,13 +253,12 @@
             return  # behind a malformed request it is unknown where the next one begins
         self.last_active_at = time.monotonic()
         self.server.idle_connections.pop(self, None)
-        if not self.in_body:
-            self.head_bytes += len(data)  # an endless header is never reported by the parser
+        self.size.add_received(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.error_status = self.error_status or 400
-        if self.incoming is not None and not self.in_body and self.head_bytes > MAX_HEAD_BYTES:
+        if self.size.overhead_exceeded:  # an endless line is never reported by the parser
             self.error_status = self.error_status or 400
         completed, self.completed = self.completed, []
         for exchange in completed:
@@ -305,7 +304,7 @@
     def on_message_begin(self) -> None:
         self.incoming = Exchange(self)
         self.request_started_at = time.monotonic()
-        self.parsed_bytes, self.in_body = 0, False
+        self.header_bytes, self.head_complete = 0, False
 
     def on_url(self, url: bytes) -> None:
         assert self.incoming is not None
@@ -314,9 +313,11 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         exchange, lower = self.incoming, name.lower()
         assert exchange is not None
-        self.parsed_bytes += len(name) + len(value)
-        if self.parsed_bytes > MAX_HEAD_BYTES:
+        self.header_bytes += len(name) + len(value)
+        if self.header_bytes > MAX_OVERHEAD_BYTES:
             raise ValueError("headers too large")
+        if self.head_complete:  # trailer fields are not kept
+            return
         if lower in exchange.header_values and lower in self.server.single_value_headers:
             exchange.header_values[lower] = b""  # repeated: neither value is used
         else:
@@ -327,7 +328,7 @@
         exchange = self.incoming
         assert exchange is not None
         exchange.method = self.parser.get_method()
-        self.parsed_bytes, self.in_body = 0, True
+        self.head_complete = True
         length = exchange.header_values.get(b"content-length", b"0")
         if b"transfer-encoding" in exchange.header_values:
             # Together with a length it allows request smuggling: a second request hidden in a body.
@@ -348,15 +349,15 @@
 
     def on_body(self, body: bytes) -> None:
         assert self.incoming is not None
-        self.parsed_bytes += len(body)
-        if self.parsed_bytes > MAX_BODY_BYTES:
+        self.size.add_body(body)
+        if self.size.body_exceeded:
             self.error_status = 413
         else:
             self.incoming.body += body
 
     def on_message_complete(self) -> None:
         exchange, self.incoming = self.incoming, None
-        self.head_bytes, self.in_body = 0, False
+        self.size.reset()
         if exchange is None or self.error_status:
             return
         self.has_sent_request = True
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from net_helpers import host_entry, request, run, running_gateway, with_timeout
+from net_helpers import FakeServer, host_entry, http_response, request, run, running_gateway, with_timeout
 from upstream_helpers import harness
 
 from coralvale import interface as api
@@ -134,3 +134,57 @@
             assert len(h.upstreams.connections) == 1  # kept for the next request
 
     run(test())
+
+
+REQUEST_LINE = b"POST /api HTTP/1.1\r\n"
+CHUNKED_REQUEST = request(class_name="write", Transfer_Encoding="chunked")
+
+
+@pytest.mark.parametrize(
+    ("start", "block", "status"),
+    [
+        pytest.param(b"", b"\r\n", 400, id="empty lines ahead of it"),
+        pytest.param(b"", b"X", 400, id="method"),
+        pytest.param(b"POST /", b"x", 400, id="target"),
+        pytest.param(REQUEST_LINE, b"x", 400, id="header name"),
+        pytest.param(REQUEST_LINE + b"A: ", b"x", 400, id="header value"),
+        pytest.param(REQUEST_LINE, b"a: b\r\n", 400, id="headers"),
+        pytest.param(CHUNKED_REQUEST, b"1\r\nx\r\n", 413, id="chunks"),
+        pytest.param(CHUNKED_REQUEST, b"0", 400, id="chunk size"),
+        pytest.param(CHUNKED_REQUEST + b"1;", b"x", 400, id="chunk extension"),
+        pytest.param(CHUNKED_REQUEST, b"1;" + b"x" * 3000 + b"\r\nx\r\n", 400, id="chunk extensions"),
+        pytest.param(CHUNKED_REQUEST + b"2\r\nok\r\n0\r\n", b"x", 400, id="trailer name"),
+        pytest.param(CHUNKED_REQUEST + b"2\r\nok\r\n0\r\na: ", b"x", 400, id="trailer value"),
+        pytest.param(CHUNKED_REQUEST + b"2\r\nok\r\n0\r\n", b"a: b\r\n", 400, id="trailers"),
+    ],
+)
+def test_a_request_that_does_not_end_is_answered_in_whichever_part_it_goes_on(
+    start: bytes, block: bytes, status: int
+) -> None:
+    # Guards against bytes of a client that count against no limit and fill the memory.
+
+    async def test() -> None:
+        async with running_gateway() as w:
+            assert (await w.ask(endless(start, block))).status == status
+            assert not w.script.received(api.Request)
+
+    run(test())
+
+
+def test_a_request_in_single_byte_chunks_with_trailers_is_handled_without_them() -> None:
+    body = bytes(range(65, 91)) * 2000
+    chunks = b"".join(b"1;x=y\r\n%c\r\n" % byte for byte in body)
+    data = CHUNKED_REQUEST + chunks + b"0\r\nX-Timeout: 1\r\n" + b"Other: x\r\n" * 10 + b"\r\n"
+
+    async def test() -> None:
+        host = await FakeServer(http_response()).start()
+        async with running_gateway(host_entry("s-1", host.port)) as w:
+            w.script.on(api.Request, lambda e: [api.Send(e.id, "s-1", 0.0)])
+            client = await w.client()
+            for _ in range(2):  # the second on the same connection
+                assert (await client.ask(data)).status == 200
+                message = (await host.next_request()).message
+                assert message.body == body and b"other" not in message.headers
+        host.stop()
+
+    run(test())
