Limit the number of header and trailer fields of a message

Callers would see a gateway killed over its memory limit (80 to 192 MB): 470 clients with unfinished heads of short lines, 16 KB each, take it from 25 to 271 MB, and 300 hosts' answers with such heads to 346 MB (100: 132 MB).

Change: MessageSize.add_field limits the fields of a message to 128, ten times what usual requests have, and takes over the check of the size of headers that requests had; responses have it too, so that one read of 256 KB no longer reports 40,000 fields first.

Tests: test_a_request_with_too_many_fields_is_answered_before_its_head_ends and test_a_response_with_too_many_fields_fails_before_its_head_ends failed before (no answer to the unfinished head).

--- a/coralvale/net/message_size.py
+++ b/coralvale/net/message_size.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+MAX_FIELDS = 128  # header and trailer fields: each takes memory many times its size if it is short
 CHUNK_FRAMING_BYTES = 20  # allowed around the data of a chunk: a size of 16 digits and two line ends
 
 
+class MessageTooLarge(ValueError):
+    """A message exceeds a limit on its size."""
+
+
 class MessageSize:
     """Counts the bytes of one message while it is being received.
 
@@ -13,7 +18,7 @@
     known from what was received, less what the parser has reported as body.
     """
 
-    __slots__ = ("body", "max_body", "max_overhead", "overhead", "received")
+    __slots__ = ("body", "field_bytes", "fields", "max_body", "max_overhead", "overhead", "received")
 
     def __init__(self, max_overhead: int, max_body: int) -> None:
         """Both limits are in bytes."""
@@ -22,13 +27,20 @@
 
     def reset(self) -> None:
         """Starts counting anew, for the next message on the connection."""
-        self.received = self.body = self.overhead = 0
+        self.received = self.body = self.overhead = self.fields = self.field_bytes = 0
 
     def add_received(self, data: bytes) -> None:
         """Counts data about to be passed to the parser, all of it as overhead until reported as body."""
         self.received += len(data)
         self.overhead += len(data)
 
+    def add_field(self, name: bytes, value: bytes) -> None:
+        """Counts a field that the parser reports; raises `MessageTooLarge` if there are too many."""
+        self.fields += 1
+        self.field_bytes += len(name) + len(value)
+        if self.fields > MAX_FIELDS or self.field_bytes > self.max_overhead:
+            raise MessageTooLarge("too many header or trailer fields")
+
     def add_body(self, data: bytes) -> None:
         """Counts a part of the body that the parser reports, with the usual framing of a chunk."""
         self.body += len(data)
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -233,7 +233,6 @@
         self.request_started_at = 0.0
         self.has_sent_request = False  # whether a request has been received in full
         self.size = MessageSize(MAX_OVERHEAD_BYTES, MAX_BODY_BYTES)  # since the last complete request
-        self.header_bytes = 0  # of the incoming request's header names and values, as parsed so far
         self.head_complete = False  # of the incoming request
         self.error_status = 0  # status of the error response that ends this connection
         self.reading_paused = self.closing = False  # closing: nothing more is read or answered
@@ -304,7 +303,7 @@
     def on_message_begin(self) -> None:
         self.incoming = Exchange(self)
         self.request_started_at = time.monotonic()
-        self.header_bytes, self.head_complete = 0, False
+        self.head_complete = False
 
     def on_url(self, url: bytes) -> None:
         assert self.incoming is not None
@@ -313,9 +312,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         exchange, lower = self.incoming, name.lower()
         assert exchange is not None
-        self.header_bytes += len(name) + len(value)
-        if self.header_bytes > MAX_OVERHEAD_BYTES:
-            raise ValueError("headers too large")
+        self.size.add_field(name, value)
         if self.head_complete:  # trailer fields are not kept
             return
         if lower in exchange.header_values and lower in self.server.single_value_headers:
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -179,7 +179,10 @@
             self.keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not (self.response_complete or self.head_complete):  # trailer fields are not kept
+        if self.response_complete:
+            return
+        self.size.add_field(name, value)
+        if not self.head_complete:  # trailer fields are not kept
             self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -11,6 +11,7 @@
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
+from coralvale.net.message_size import MAX_FIELDS
 
 MAX_LOOP_HOLD_S = 0.02  # of processor time, for which one message may hold up the event loop
 TRIES = 3  # of which the fastest counts, as other work may fall into one of them
@@ -188,3 +189,35 @@
         host.stop()
 
     run(test())
+
+
+SHORT_FIELD = b"a:\r\n"
+NEXT_LINE = b"b"  # a field is complete when the next line begins, as it may be folded
+
+
+def test_a_request_with_too_many_fields_is_answered_before_its_head_ends() -> None:
+    # Guards against short header lines, each kept in many times its size, on hundreds of connections at once.
+    head = request(class_name="write", Content_Length="2").removesuffix(b"\r\n")
+    own_fields = head.count(b"\r\n") - 1
+
+    async def test() -> None:
+        async with running_gateway() as w:
+            w.script.on(api.Request, lambda e: [api.Refuse(e.id)])
+            full = head + SHORT_FIELD * (MAX_FIELDS - own_fields)
+            assert (await w.ask(full + b"\r\nok")).status == 503
+            assert (await w.ask(full + SHORT_FIELD + NEXT_LINE)).status == 400
+
+    run(test())
+
+
+def test_a_response_with_too_many_fields_fails_before_its_head_ends() -> None:
+    # Guards against short header lines, each kept in many times its size, in many responses at once.
+    full = RESPONSE + b"Content-Length: 2\r\n" + SHORT_FIELD * (MAX_FIELDS - 1)
+
+    async def test(response: bytes, expected: Outcome) -> None:
+        async with harness(auto=response) as h:
+            h.send()
+            assert await h.outcome() is expected
+
+    run(test(full + b"\r\nok", Outcome.OK))
+    run(test(full + SHORT_FIELD + NEXT_LINE, Outcome.ERROR))
