Collect the body of a response in one buffer

Cause: HostConnection.on_body kept each piece in a list, some 50 bytes for a piece of two, and the limit counts the bytes alone. Excluded: chunks of one byte, for which there is one object a value (78 MB for 100 answers).

Change: one bytearray.

Test: test_a_response_in_many_pieces_takes_no_more_memory_than_in_one failed before: 711,674 bytes held, of a limit of 131,072, for a body of 32,768.

--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -107,7 +107,9 @@
 
     def _reset_response(self) -> None:
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body_chunks: list[bytes] = []
+        self.body = bytearray()  # one buffer: short pieces of their own would take many times their size
+            bytearray()
+        )  # one buffer, as each piece of its own takes many times its size if it is short
         self.status = self.interim_count = 0
         self.head_complete = False  # of the final response
         self.size.reset()
@@ -195,7 +197,7 @@
 
     def on_body(self, body: bytes) -> None:
         if not self.response_complete:
-            self.body_chunks.append(body)
+            self.body += body
             self.size.add_body(body)
 
     def on_message_complete(self) -> None:
@@ -216,7 +218,7 @@
         if self.has_been_idle:
             self.pool.upstreams.idle_limit.record(self.idle_time, False)
         status = self.status
-        response = Response(status, [], b"".join(self.body_chunks))
+        response = Response(status, [], bytes(self.body))
         not_processed = False
         for name, value in self.headers:
             lower = name.lower()
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -4,14 +4,25 @@
 
 import math
 import time
+import tracemalloc
 
 import pytest
-from net_helpers import FakeServer, host_entry, http_response, request, run, running_gateway, with_timeout
+from net_helpers import (
+    FakeServer,
+    host_entry,
+    http_response,
+    request,
+    run,
+    running_gateway,
+    until,
+    with_timeout,
+)
 from upstream_helpers import harness
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
 from coralvale.net.message_size import MAX_FIELDS
+from coralvale.net.upstream import MAX_BODY_BYTES
 
 MAX_LOOP_HOLD_S = 0.02  # of processor time, for which one message may hold up the event loop
 TRIES = 3  # of which the fastest counts, as other work may fall into one of them
@@ -221,3 +232,23 @@
 
     run(test(full + b"\r\nok", Outcome.OK))
     run(test(full + SHORT_FIELD + NEXT_LINE, Outcome.ERROR))
+
+
+def test_a_response_in_many_pieces_takes_no_more_memory_than_in_one() -> None:
+    # Guards against short chunks, each kept in many times its size, in many responses at once.
+    pieces = MAX_BODY_BYTES // 4
+    response = CHUNKED_RESPONSE + b"2\r\nxy\r\n" * pieces  # half of the largest body, and no end
+
+    async def test() -> None:
+        async with harness() as h:
+            h.send()
+            host = await h.host.next_request()
+            (connection,) = h.upstreams.connections
+            tracemalloc.start()
+            host.reply(response)
+            await until(lambda: connection.size.body == 2 * pieces)
+            held, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            assert held < 2 * MAX_BODY_BYTES
+
+    run(test())
