--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -108,8 +108,6 @@
     def _reset_response(self) -> None:
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()  # one buffer: short pieces of their own would take many times their size
-            bytearray()
-        )  # one buffer, as each piece of its own takes many times its size if it is short
         self.status = self.interim_count = 0
         self.head_complete = False  # of the final response
         self.size.reset()
