Count only the beginning of a request as activity of a connection

Cause: ClientConnection.data_received set last_active_at with each read, and the parser skips empty lines ahead of a request without beginning one: the connection is idle and its idle time starts again. Excluded: requests that have begun, whose time counts from their beginning (a head sent byte by byte got its 408 after 2.2 s).

Change: on_message_begin marks the connection as active, and flush does as before. Nothing else reads the time of a read.

Test: test_empty_lines_do_not_keep_a_connection_without_a_request_open failed before (no close within its time limit).

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -251,8 +251,6 @@
     def data_received(self, data: bytes) -> None:
         if self.error_status or self.closing:
             return  # behind a malformed request it is unknown where the next one begins
-        self.last_active_at = time.monotonic()
-        self.server.idle_connections.pop(self, None)
         self.size.add_received(data)
         try:
             self.parser.feed_data(data)
@@ -303,7 +301,9 @@
 
     def on_message_begin(self) -> None:
         self.incoming = Exchange(self)
-        self.request_started_at = time.monotonic()
+        # Not with each read: empty lines, which begin no request, must not keep a connection open.
+        self.last_active_at = self.request_started_at = time.monotonic()
+        self.server.idle_connections.pop(self, None)
         self.head_complete = False
 
     def on_url(self, url: bytes) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -317,6 +317,28 @@
     run(test())
 
 
+def test_empty_lines_do_not_keep_a_connection_without_a_request_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against bytes that begin no request and put off the end of their connection for good.
+
+    async def test() -> None:
+        async with running_gateway() as w:
+            client = await w.client()
+            await until(lambda: w.node.server.connections)
+            (connection,) = w.node.server.connections
+            for lines in range(1, 4):
+                client.send(b"\r\n")
+                await until(lambda lines=lines: connection.size.received == 2 * lines)
+                clock.now += REQUEST_READ_TIMEOUT_S / 3 + MARGIN_S
+            assert await client.closed_by_gateway()
+
+    clock = ManualClock()
+    monkeypatch.setattr("coralvale.net.server.time", clock)
+    monkeypatch.setattr("coralvale.net.server.SWEEP_INTERVAL_S", 0.01)
+    run(test())
+
+
 def test_idle_connections_are_closed_sooner_near_the_connection_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
