Compare the size of a counter's answer after it is known where it ends

Callers: where more than 4,096 bytes of answers come in one read, about 100 of 40 bytes, as after a pause of the counter or of the gateway, all these calls lose their totals, count as perhaps added and the connection is closed.

Cause: Connection.data_received added the whole read to the size of the answer that is due and compared it before parsing. Excluded: an endless head, which is still closed (test_an_endless_response_head_closes_the_connection).

Change: MessageSize counts here as on the other two connections, is reset with each whole answer and compared after the parser has seen the read; so what is compared is what came since the last whole answer.

Test: test_many_answers_that_arrive_together_are_each_within_the_limit_on_one failed before (200 answers of 7,890 bytes: each call without its total).

--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -16,12 +16,13 @@
 
 from coralvale.interface import CounterReply
 from coralvale.net.config import Address
+from coralvale.net.message_size import MessageSize
 
 MAX_CONNECTIONS = 2  # all calls for one entry go over the same connection, so that their replies are in order
 IDLE_TIMEOUT_S = 4.0  # until an idle connection is closed here; the counter keeps one open for up to 10 s
 MAX_LIFETIME_MS = 60_000  # of an entry on the counter
 MAX_BODY_BYTES = 64  # of a response; a total is shorter
-MAX_RESPONSE_BYTES = 4096  # received without a complete response: an endless head would fill the memory
+MAX_OVERHEAD_BYTES = 4096  # of a response besides its body, such as its head
 STALL_TIMEOUT_S = 0.5  # age of the oldest unanswered call at which its connection is closed
 
 
@@ -143,7 +144,7 @@
         self.calls: deque[Call] = deque()  # without a response, oldest first
         self.transport: asyncio.Transport | None = None
         self.idle_timer: asyncio.TimerHandle | None = None
-        self.response_size = 0  # bytes received since the last complete response
+        self.size = MessageSize(MAX_OVERHEAD_BYTES, MAX_BODY_BYTES)  # since the last complete response
         self.draining = False  # to be closed once all its calls are answered
 
     def add(self, call: Call) -> None:
@@ -178,19 +179,19 @@
         if not self.calls:  # data without a call
             self.close()
             return
-        self.response_size += len(data)
-        if self.response_size > MAX_RESPONSE_BYTES:
-            self.close()
-            return
+        self.size.add_received(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
             self.close()
+        if self.size.overhead_exceeded:
+            self.close()
         self.check_idle()
 
     def on_body(self, body: bytes) -> None:
         self.body += body
-        if len(self.body) > MAX_BODY_BYTES:
+        self.size.add_body(body)
+        if self.size.body_exceeded:
             raise ValueError("response body too long")
 
     def on_message_begin(self) -> None:
@@ -198,7 +199,7 @@
             raise ValueError("response without a call")
 
     def on_message_complete(self) -> None:
-        self.response_size = 0
+        self.size.reset()
         status, body, self.body = self.parser.get_status_code(), self.body, b""
         if status < 200:
             return
--- a/tests/test_counter_calls.py
+++ b/tests/test_counter_calls.py
@@ -11,7 +11,7 @@
 from net_helpers import FakeServer, ReceivedRequest, http_response, run, until, with_timeout
 
 from coralvale.interface import CounterReply
-from coralvale.net.counter import CounterClient
+from coralvale.net.counter import MAX_OVERHEAD_BYTES, CounterClient
 
 
 @contextlib.asynccontextmanager
@@ -53,6 +53,23 @@
     run(test())
 
 
+def test_many_answers_that_arrive_together_are_each_within_the_limit_on_one() -> None:
+    # Guards against the sizes of several answers added up and their connection closed, as a stall ends.
+
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            for _ in range(200):
+                calls.add(8, 1.0, 4.0)
+            arrived = [await peer.next_request() for _ in range(200)]
+            answers = b"".join(total(str(number)) for number in range(200))
+            assert len(answers) > MAX_OVERHEAD_BYTES
+            arrived[0].reply(answers)
+            received = [await with_timeout(replies.get()) for _ in range(200)]
+            assert received == [CounterReply(8, True, float(number)) for number in range(200)]
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("reply", "maybe_added"),
     [
