Give limits, timer resolution and outcomes that stood in two modules one place

MAX_BODY_BYTES and the check of a Content-Length (its six digits now have a name) move to net/message_size.py, TIMER_RESOLUTION_S to net/clock.py, NOT_RUN to interface.py; the counter's own limit is named after what it limits, a total. No behaviour changes.

--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -61,6 +61,10 @@
     NOT_SENT = "not_sent"  # not sent to the host
 
 
+# Outcomes after which it is certain that the host has not run the request.
+NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+
+
 class LoadReportVia(Enum):
     """How hosts report their load: in every response, in answers to probes, or not at all."""
 
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -15,7 +15,7 @@
 from coralvale import interface as api
 from coralvale.admission import Admission
 from coralvale.health import DELAY_HALF_LIFE_S, LOST_THRESHOLD, SILENCE_LIMIT, Host
-from coralvale.interface import Idempotency, Outcome
+from coralvale.interface import NOT_RUN, Idempotency, Outcome
 from coralvale.restrictor import RATE_UPDATE_INTERVAL_S, READING_MAX_AGE_S, Restrictor
 from coralvale.state import (
     QUOTA_REASONS,
@@ -46,8 +46,6 @@
 MIN_TIMEOUT_MULTIPLE = 5.0  # shortest early timeout, in mean delays: one attempt in a hundred takes longer
 RETRY_RESERVE_MULTIPLE = 3.0  # mean delays before the latency target that are reserved for a retry
 MIN_RETRY_RESERVE_S = 0.02  # least time reserved for a retry: a loaded gateway may notice a timeout this late
-# Outcomes after which it is certain that the host has not run the request.
-NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
 class Gateway:
--- a/coralvale/net/clock.py
+++ b/coralvale/net/clock.py
@@ -4,6 +4,8 @@
 
 import time
 
+TIMER_RESOLUTION_S = 0.001  # by which the event loop's timers may fire early, as it counts whole milliseconds
+
 
 class Clock:
     """Unix time in seconds that never steps: the monotonic clock plus an offset taken once, at start.
--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -21,7 +21,7 @@
 MAX_CONNECTIONS = 2  # all calls for one entry go over the same connection, so that their replies are in order
 IDLE_TIMEOUT_S = 4.0  # until an idle connection is closed here; the counter keeps one open for up to 10 s
 MAX_LIFETIME_MS = 60_000  # of an entry on the counter
-MAX_BODY_BYTES = 64  # of a response; a total is shorter
+MAX_TOTAL_BYTES = 64  # of the body of a response, a number
 MAX_OVERHEAD_BYTES = 4096  # of a response besides its body, such as its head
 STALL_TIMEOUT_S = 0.5  # age of the oldest unanswered call at which its connection is closed
 
@@ -144,7 +144,7 @@
         self.calls: deque[Call] = deque()  # without a response, oldest first
         self.transport: asyncio.Transport | None = None
         self.idle_timer: asyncio.TimerHandle | None = None
-        self.size = MessageSize(MAX_OVERHEAD_BYTES, MAX_BODY_BYTES)  # since the last complete response
+        self.size = MessageSize(MAX_OVERHEAD_BYTES, MAX_TOTAL_BYTES)  # since the last complete response
         self.draining = False  # to be closed once all its calls are answered
 
     def add(self, call: Call) -> None:
--- a/coralvale/net/message_size.py
+++ b/coralvale/net/message_size.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+MAX_BODY_BYTES = 64 * 1024  # of a request or a response
+MAX_LENGTH_DIGITS = 6  # of a Content-Length, so that no long number is converted
 MAX_FIELDS = 128  # header and trailer fields: each takes memory many times its size if it is short
 CHUNK_FRAMING_BYTES = 20  # allowed around the data of a chunk: a size of 16 digits and two line ends
 
 
+def is_body_too_large(content_length: bytes) -> bool:
+    """Whether a Content-Length exceeds `MAX_BODY_BYTES`; raises `ValueError` if it is not a number."""
+    return len(content_length) > MAX_LENGTH_DIGITS or int(content_length) > MAX_BODY_BYTES
+
+
 class MessageTooLarge(ValueError):
     """A message exceeds a limit on its size."""
 
@@ -20,7 +27,7 @@
 
     __slots__ = ("body", "field_bytes", "fields", "max_body", "max_overhead", "overhead", "received")
 
-    def __init__(self, max_overhead: int, max_body: int) -> None:
+    def __init__(self, max_overhead: int, max_body: int = MAX_BODY_BYTES) -> None:
         """Both limits are in bytes."""
         self.max_overhead, self.max_body = max_overhead, max_body
         self.reset()
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -18,8 +18,8 @@
 
 from coralvale import Gateway
 from coralvale import interface as api
-from coralvale.interface import Outcome
-from coralvale.net.clock import Clock
+from coralvale.interface import NOT_RUN, Outcome
+from coralvale.net.clock import TIMER_RESOLUTION_S, Clock
 from coralvale.net.config import Address, Config, HostInstance
 from coralvale.net.counter import CounterClient
 from coralvale.net.discovery import Discovery, Endpoint
@@ -44,10 +44,8 @@
 FLUSH_S = 0.1  # for the last responses to be sent
 DRAIN_POLL_S = 0.05  # between checks whether the drain is complete
 MAX_EXTRA_POLLS = 4  # after FLUSH_S, if responses are not yet sent; both together stay within KILL_MARGIN_S
-TIMER_RESOLUTION_S = 0.001  # of the event loop's timers, which count whole milliseconds
 DEFAULT_TIMER_DELAY_S = 1.0  # for setting a timer again whose delay is not known
 RESERVED_DESCRIPTORS = 64  # for the listener, discovery, the counter, log files and the event loop
-NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # the host has not run the request
 
 
 def descriptor_limit(configured: int) -> int:
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -18,11 +18,10 @@
 
 from coralvale import interface as api
 from coralvale.net.config import Address
-from coralvale.net.message_size import MessageSize
+from coralvale.net.message_size import MessageSize, is_body_too_large
 
 log = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 64 * 1024  # of a request
 MAX_OVERHEAD_BYTES = 16 * 1024  # of a request besides its body, such as its request line and headers
 MAX_PIPELINED_REQUESTS = 16  # unanswered requests on a connection at which reading from it pauses
 REQUEST_READ_TIMEOUT_S = 2.0  # for a request to arrive in full, or a new connection to send its first one
@@ -232,7 +231,7 @@
         self.last_active_at = self.opened_at = time.monotonic()
         self.request_started_at = 0.0
         self.has_sent_request = False  # whether a request has been received in full
-        self.size = MessageSize(MAX_OVERHEAD_BYTES, MAX_BODY_BYTES)  # since the last complete request
+        self.size = MessageSize(MAX_OVERHEAD_BYTES)  # since the last complete request
         self.head_complete = False  # of the incoming request
         self.body = bytearray()  # of the incoming request
         self.error_status = 0  # status of the error response that ends this connection
@@ -337,7 +336,7 @@
                 self.error_status = 400
         elif not length.isdigit():  # signed, a list, or repeated
             self.error_status = 400
-        elif len(length) > 6 or int(length) > MAX_BODY_BYTES:
+        elif is_body_too_large(length):
             self.error_status = 413
         if self.error_status:
             raise ValueError("invalid or excessive body length")  # stops the parser before the body
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -20,15 +20,13 @@
 import httptools
 
 from coralvale.interface import Outcome
-from coralvale.net.clock import Clock
+from coralvale.net.clock import TIMER_RESOLUTION_S, Clock
 from coralvale.net.config import Address, HostInstance
-from coralvale.net.message_size import MessageSize
+from coralvale.net.message_size import MessageSize, is_body_too_large
 
-MAX_BODY_BYTES = 64 * 1024  # of a response
 MAX_OVERHEAD_BYTES = 64 * 1024  # of a response besides its body, with its interim responses
 MAX_INTERIM_RESPONSES = 8  # with status 1xx, ahead of the final one
 REUSE_DELAY_S = 0.02  # from a response to the next request: a stray second response may follow some ms later
-TIMER_RESOLUTION_S = 0.001  # by which timers may fire early, as the loop counts whole milliseconds
 MAX_USAGE, MAX_LOAD = 1000.0, 1e6  # reported figures above these are ignored
 IDLE_TIMEOUT_SHARE = 0.8  # of the hosts' idle timeout, after which this side closes an idle connection
 IDLE_TIME_BUCKETS = 36  # their lower bounds go from 1 ms up, each the square root of two times the one before
@@ -102,7 +100,7 @@
         self.idle_since = self.idle_time = 0.0
         self.has_been_idle = False  # whether it has been idle in the pool
         self.write_pending = self.response_complete = self.keep_alive = False
-        self.size = MessageSize(MAX_OVERHEAD_BYTES, MAX_BODY_BYTES)
+        self.size = MessageSize(MAX_OVERHEAD_BYTES)
         self._reset_response()
 
     def _reset_response(self) -> None:
@@ -190,7 +188,7 @@
             return
         self.head_complete = True
         for name, value in self.headers:
-            if name.lower() == b"content-length" and (len(value) > 6 or int(value) > MAX_BODY_BYTES):
+            if name.lower() == b"content-length" and is_body_too_large(value):
                 raise ValueError("body too large")  # rather than wait for 3 GB to arrive
 
     def on_body(self, body: bytes) -> None:
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -21,8 +21,7 @@
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
-from coralvale.net.message_size import MAX_FIELDS
-from coralvale.net.upstream import MAX_BODY_BYTES
+from coralvale.net.message_size import MAX_BODY_BYTES, MAX_FIELDS
 
 MAX_LOOP_HOLD_S = 0.02  # of processor time, for which one message may hold up the event loop
 TRIES = 3  # of which the fastest counts, as other work may fall into one of them
