Move the parsing of a request's parameters to a module of its own

net/server.py had grown to 700 lines; what reads and checks the headers of a request has no part in connections. No behaviour changes.

--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -23,7 +23,8 @@
 from coralvale.net.config import Address, Config, HostInstance
 from coralvale.net.counter import CounterClient
 from coralvale.net.discovery import Discovery, Endpoint
-from coralvale.net.server import HEADERS_NOT_FORWARDED, Exchange, ParsedRequest, Server
+from coralvale.net.request import ParsedRequest
+from coralvale.net.server import HEADERS_NOT_FORWARDED, Exchange, Server
 from coralvale.net.upstream import Attempt, Response, Upstreams
 
 log = logging.getLogger(__name__)
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -1,12 +1,10 @@
-"""Client connections: accepting them, parsing and checking requests, writing responses."""
+"""Client connections: accepting them, reading requests and writing responses."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
 import logging
-import math
-import re
 import select
 import socket
 import time
@@ -19,6 +17,7 @@
 from coralvale import interface as api
 from coralvale.net.config import Address
 from coralvale.net.message_size import MessageSize, is_body_too_large
+from coralvale.net.request import BadRequest, ParsedRequest, ParserSettings
 
 log = logging.getLogger(__name__)
 
@@ -58,15 +57,6 @@
     b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"content-length",
     b"proxy-authorization", b"proxy-connection", b"expect", b"x-timeout",
 }  # fmt: skip
-CLIENT_COOKIE = re.compile(rb"(?:^|;)\s*client=([^;]*)")
-CUSTOMER_HEX = re.compile(rb"[0-9a-fA-F]{16}")
-QUOTA_FIELD_SEPARATORS = re.compile(rb"[,; \t]")
-REQUEST_ID = re.compile(rb"[!-~]{1,128}")
-NUMBER = re.compile(rb"(\d{1,15}(\.\d*)?|\.\d+)")
-
-
-class BadRequest(ValueError):
-    """An invalid request. It is answered 400, with the message as the body of the response."""
 
 
 class Exchange:
@@ -123,83 +113,6 @@
     def client_disconnected(self, exchange: Exchange) -> None: ...
 
 
-class ParsedRequest:
-    """The parameters of a request, parsed from its headers. Raises `BadRequest` if they are invalid."""
-
-    __slots__ = (
-        "class_index",
-        "customer",
-        "entry_gateways",
-        "first_gateway",
-        "id",
-        "plan_index",
-        "timeout",
-        "units",
-    )
-
-    def __init__(self, settings: ParserSettings, exchange: Exchange) -> None:
-        header_values = exchange.header_values
-
-        def required(name: bytes) -> bytes:
-            if name not in header_values:
-                raise BadRequest(f"{name.decode()}: missing")
-            return header_values[name]
-
-        id_ = required(b"x-request-id")
-        if not REQUEST_ID.fullmatch(id_):
-            raise BadRequest("x-request-id: not a plain word")
-        self.id = id_.decode()
-        class_index = settings.class_indexes.get(required(b"x-priority-class"))
-        if class_index is None:
-            raise BadRequest("x-priority-class: unknown class")
-        self.class_index = class_index
-        plan_index = settings.plan_indexes.get(required(b"plan"))
-        if plan_index is None:
-            raise BadRequest("plan: unknown plan")
-        self.plan_index = plan_index
-        if exchange.method != settings.methods[class_index]:
-            # Clients and proxies may repeat a GET on their own, so it is for classes that are safe to repeat.
-            raise BadRequest("the method does not go with the class")
-        cookie = CLIENT_COOKIE.search(required(b"cookie"))
-        if not cookie or not CUSTOMER_HEX.fullmatch(cookie[1].strip()):
-            raise BadRequest("cookie: no client of 16 hex digits")
-        self.customer = int(cookie[1], 16)
-        if self.customer >= 2**33:
-            raise BadRequest("cookie: the client is too large a number")
-        self.timeout = parse_positive("x-timeout", required(b"x-timeout"))
-        quota = parse_quota_info(required(b"quota-info"))
-        # Units fill the customer's bucket, ceiling and counter entries: clients must not choose them freely.
-        self.units = parse_positive("quota-info units", quota.get(b"units", b""))
-        if not 1 <= self.units <= settings.max_units:
-            raise BadRequest(f"quota-info units: not from 1 to {settings.max_units:g}")
-        self.entry_gateways = parse_integer(
-            "quota-info spread", quota.get(b"spread", b""), 1, settings.gateways
-        )
-        # Only validated: the gateway does not use the number.
-        self.first_gateway = parse_integer(
-            "quota-info first", quota.get(b"first", b""), 0, settings.gateways - 1
-        )
-
-
-def parse_quota_info(value: bytes) -> dict[bytes, bytes]:
-    """The `name=value` fields of `Quota-Info`, the last of each name; takes time linear in the length."""
-    fields = (field.partition(b"=") for field in QUOTA_FIELD_SEPARATORS.split(value))
-    return {name: text for name, _, text in fields}
-
-
-def parse_positive(name: str, text: bytes) -> float:
-    value = float(text) if NUMBER.fullmatch(text) else 0.0
-    if not 0 < value < math.inf:
-        raise BadRequest(f"{name}: not a number above 0")
-    return value
-
-
-def parse_integer(name: str, text: bytes, low: int, high: int) -> int:
-    if not text.isdigit() or len(text) > 9 or not low <= int(text) <= high:
-        raise BadRequest(f"{name}: not a whole number from {low} to {high}")
-    return int(text)
-
-
 def has_event(descriptor: int, event: int = select.POLLIN) -> bool:
     """Whether the kernel has an event for a descriptor, even if the loop has not reported it yet."""
     poll = select.poll()
@@ -207,18 +120,6 @@
     return bool(poll.poll(0))
 
 
-class ParserSettings:
-    """The settings needed to parse requests: indexes of classes and plans by name, methods of classes."""
-
-    def __init__(self, settings: api.Settings) -> None:
-        self.class_indexes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
-        self.plan_indexes = {p.name.encode(): i for i, p in enumerate(settings.plans)}
-        self.methods = [
-            b"GET" if c.idempotency is api.Idempotency.SAFE else b"POST" for c in settings.classes
-        ]
-        self.gateways, self.max_units = settings.gateways, settings.max_units
-
-
 class ClientConnection(asyncio.Protocol):
     """One client connection. Responses are written in the order of the requests."""
 
@@ -619,7 +520,7 @@
                 exchange.reply(503, retry_after=self.retry_after_limit)
                 return
             try:
-                request = ParsedRequest(self.parser_settings, exchange)
+                request = ParsedRequest(self.parser_settings, exchange.method, exchange.header_values)
             except BadRequest as error:
                 exchange.reject(400, f"{error}\n".encode())
                 return
