Excuse a refusal by a gateway that never sent the attempt of a killed one

REFUSED_AFTER_ATTEMPT now looks at each pair of an attempt that may have run and a refusal, and excuses it only where the client sent the request anew between the two because the attempt's gateway had been killed. A refusal by the gateway that sent the attempt, one ahead of the kill and one without a kill are violations as before.

Test: test_a_resent_unsafe_request_may_be_refused_by_a_gateway_that_never_sent_it failed before; three of its four cases hold the check as strict as it was.

--- a/testbed/soak/checker.py
+++ b/testbed/soak/checker.py
@@ -209,7 +209,12 @@
                         request,
                         f"{len(history.attempts)} attempts of an unsafe request",
                     )
-                if may_have_run and any(a.status in (429, 503) for a in history.responses):
+                refusals = [a for a in history.responses if a.status in (429, 503)]
+                if any(
+                    not self._is_from_resend(history, attempt, refusal)
+                    for attempt in may_have_run
+                    for refusal in refusals
+                ):
                     yield Violation(
                         Rule.REFUSED_AFTER_ATTEMPT, request, "refused after an attempt that may have run"
                     )
@@ -224,9 +229,9 @@
                         )
 
     def _is_from_resend(
-        self, history: RequestHistory, first: r.AttemptArrived, later: r.AttemptArrived
+        self, history: RequestHistory, first: r.AttemptArrived, later: r.AttemptArrived | r.Answered
     ) -> bool:
-        """Whether the client resent it between the two attempts, as its gateway had been killed."""
+        """Whether the client resent it between the two entries, as its gateway had been killed."""
         sent, again = history.last_sent_before(first.at), history.last_sent_before(later.at)
         return again is not sent and self._was_killed(sent, again.at)
 
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -160,6 +160,21 @@
     assert violated_with_unsafe(*attempts, *other) == [Rule.FORBIDDEN_RETRY]
 
 
+def test_a_resent_unsafe_request_may_be_refused_by_a_gateway_that_never_sent_it() -> None:
+    # Guards against a false alarm: the attempt was the killed gateway's, and the other one knows of none.
+    before = (arrived(1.1), r.AttemptEnded(1.2, "q1", "h1", False))
+    resent = sent(1.4, repeat="unsafe", customer=9, gateway=1, resent=True)
+    other = (r.ProcessStarted(0.0, 1, 0), r.ProcessReady(0.5, 1, 0, 15, MEMORY))
+    killed = (r.ProcessSignalled(1.3, 0, 0, "SIGKILL", False), r.ProcessExited(1.35, 0, 0, -9))
+    refused = (*before, resent, answered(1.6, status=503), *other)
+    assert violated_with_unsafe(*refused, *killed) == []
+    assert violated_with_unsafe(*refused) == [Rule.REFUSED_AFTER_ATTEMPT]
+    own_attempt = (arrived(1.5, host="h2", patience=1.6), r.AttemptEnded(1.55, "q1", "h2", False))
+    assert violated_with_unsafe(*refused, *killed, *own_attempt) == [Rule.REFUSED_AFTER_ATTEMPT]
+    refused_first = (*before, answered(1.25, status=503), *killed)
+    assert violated_with_unsafe(*refused_first) == [Rule.REFUSED_AFTER_ATTEMPT]
+
+
 def test_a_keyed_request_is_sent_again_only_while_its_key_is_valid() -> None:
     request = sent(1.0, repeat="keyed", customer=9, patience=20.0)
     first = (request, arrived(1.1, patience=19.0), r.AttemptEnded(1.2, "q1", "h1", False))
