--- a/tests/test_quota_orders.py
+++ b/tests/test_quota_orders.py
@@ -42,7 +42,23 @@
 OUTCOMES = st.sampled_from((api.Outcome.OK, api.Outcome.ERROR, api.Outcome.NOT_SENT, api.Outcome.NOT_SENT))
 
 
-class QuotaOrders(RuleBasedStateMachine):
+class RequestEnds(RuleBasedStateMachine):
+    """How requests end, whatever the quota that they were admitted by."""
+
+    bench: LedgerBench  # set by each machine
+
+    @precondition(lambda self: self.bench.out())
+    @rule(data=st.data(), outcome=OUTCOMES)
+    def end_attempt(self, data: st.DataObject, outcome: api.Outcome) -> None:
+        self.bench.finish(data.draw(st.sampled_from(self.bench.out()), "request"), outcome)
+
+    @precondition(lambda self: self.bench.waiting())
+    @rule(data=st.data())
+    def client_leaves(self, data: st.DataObject) -> None:
+        self.bench.leave(data.draw(st.sampled_from(self.bench.waiting()), "request"))
+
+
+class QuotaOrders(RequestEnds):
     """Any order of requests, answers, leaving clients and changes, with every result of calls."""
 
     results: tuple[CallResult, ...] = tuple(CallResult)
@@ -61,16 +77,6 @@
         name = data.draw(st.sampled_from(sorted(self.bench.calls)), "entry")
         self.bench.answer(name, data.draw(st.sampled_from(self.results), "result"))
 
-    @precondition(lambda self: self.bench.out())
-    @rule(data=st.data(), outcome=OUTCOMES)
-    def end_attempt(self, data: st.DataObject, outcome: api.Outcome) -> None:
-        self.bench.finish(data.draw(st.sampled_from(self.bench.out()), "request"), outcome)
-
-    @precondition(lambda self: self.bench.waiting())
-    @rule(data=st.data())
-    def client_leaves(self, data: st.DataObject) -> None:
-        self.bench.leave(data.draw(st.sampled_from(self.bench.waiting()), "request"))
-
     @rule(pool=st.booleans(), units=st.sampled_from((20.0, 500.0, 1000.0)))
     def others_use(self, pool: bool, units: float) -> None:
         self.bench.add_other_gateways_use(units, pool)
@@ -201,7 +207,7 @@
 # This gateway's share of a ceiling
 
 
-class CeilingOrders(RuleBasedStateMachine):
+class CeilingOrders(RequestEnds):
     """Requests of one customer with changing plans and entry gateways while the clock stands still."""
 
     def __init__(self) -> None:
@@ -216,16 +222,6 @@
     def ask(self, plan: int, entries: int, units: float) -> None:
         self.bench.ask(plan, entries, units)
 
-    @precondition(lambda self: self.bench.out())
-    @rule(data=st.data(), outcome=OUTCOMES)
-    def end_attempt(self, data: st.DataObject, outcome: api.Outcome) -> None:
-        self.bench.finish(data.draw(st.sampled_from(self.bench.out()), "request"), outcome)
-
-    @precondition(lambda self: self.bench.waiting())
-    @rule(data=st.data())
-    def client_leaves(self, data: st.DataObject) -> None:
-        self.bench.leave(data.draw(st.sampled_from(self.bench.waiting()), "request"))
-
     def teardown(self) -> None:
         tracked_requests = self.bench.tracked_requests.values()
         taken = sum(t.units * t.entries for t in tracked_requests if t.is_sent and t.plan == CEILING)
