Record the calls that a stand-in counter loses unread, as they are uncertain to the gateway

Cause: the counter ends a connection at once on a lost call. What a gateway has written by then and the stand-in has not read, or writes until it notices, is neither recorded nor added, and the gateway rightly takes it for possibly added. The checker's band knows recorded calls only.

Change: the connection of the gateway whose units are checked is half-closed and read until it closes; each call on it is recorded, as lost and so uncertain. The band is the same and its checks as strict. Besides, `abort` sent no TCP reset where nothing lay unread: the other gateways get a real one now.

--- a/testbed/soak/clients.py
+++ b/testbed/soak/clients.py
@@ -20,7 +20,8 @@
 # Drawn evenly, so "safe" is twice as frequent.
 REQUEST_CLASSES: tuple[r.Repeat, ...] = ("safe", "safe", "keyed", "unsafe")
 PLANS = ("team", "capped")
-# On plan `team`. All their requests go to gateway 0, so that their units on the counter can be checked.
+AUDITED_GATEWAY = 0
+# On plan `team`. All their requests go to that gateway, so that their units on the counter can be checked.
 AUDITED_CUSTOMERS = (5, 13, 34)
 OTHER_CUSTOMERS = range(100, 130)
 
@@ -148,9 +149,9 @@
 
         None if no gateway accepts a new connection. `only_new` leaves out idle connections.
         """
-        gateway_0_only = request.customer in AUDITED_CUSTOMERS
+        audited_only = request.customer in AUDITED_CUSTOMERS
         if not only_new:
-            idle = [c for c in self.idle if c.gateway.index == 0 or not gateway_0_only]
+            idle = [c for c in self.idle if c.gateway.index == AUDITED_GATEWAY or not audited_only]
             while idle:
                 connection = idle.pop(self.rng.randrange(len(idle)))
                 self.idle.remove(connection)
@@ -158,7 +159,9 @@
                     return connection
                 connection.writer.close()
         open_gateways = [
-            g for g in self.gateways if self._accepts_connections(g) and (g.index == 0 or not gateway_0_only)
+            g
+            for g in self.gateways
+            if self._accepts_connections(g) and (g.index == AUDITED_GATEWAY or not audited_only)
         ]
         self.rng.shuffle(open_gateways)
         for gateway in open_gateways:
--- a/testbed/soak/run.py
+++ b/testbed/soak/run.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from testbed.soak import record as r
-from testbed.soak.clients import AUDITED_CUSTOMERS, PLANS, Clients, Request
+from testbed.soak.clients import AUDITED_CUSTOMERS, AUDITED_GATEWAY, PLANS, Clients, Request
 from testbed.soak.gateways import GatewayProcess
 from testbed.soak.plan import Fault, FaultEvent, RunPlan
 from testbed.standins.counter import Call, CallOutcome, Counter
@@ -49,8 +49,9 @@
         self.add_entry = self.record.entries.append
         self.registry = Registry(plan.full_lists, self._on_status_sent)
         self.counter = Counter(
-            self._draw_outcome, self._counter_delay, 3 * COUNTER_TIMEOUT_S, self._on_counter_call
-        )
+            self._draw_outcome, self._counter_delay, 3 * COUNTER_TIMEOUT_S, self._on_counter_call,
+            audited_callers=frozenset({AUDITED_GATEWAY}),
+        )  # fmt: skip
         self.counter_faults_until = 0.0
         self.hosts = [
             Host(f"h{i}", self._service_time, self._on_arrival, self._on_attempt_end)
--- a/testbed/standins/counter.py
+++ b/testbed/standins/counter.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import re
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
-from testbed.standins.http import Message, http_response, read_message
+from testbed.standins.http import http_response
+from testbed.standins.peer import reset
 
 CALL_PATTERN = re.compile(rb"POST /tally/(\d+)\?n=(-?[\d.]+)&keep_ms=(\d+) HTTP/1\.1")
 MAX_LIFETIME_S = 60.0  # of an entry
@@ -57,7 +58,7 @@
 class QueuedCall:
     """A call that has been read and waits for its turn, and when it was read (s, monotonic)."""
 
-    message: Message
+    start_line: bytes
     arrived_at: float
 
 
@@ -70,29 +71,33 @@
         delay: Callable[[], float],
         late_by: float,
         on_call: Callable[[Call], None],
+        audited_callers: frozenset[int] = frozenset(),
     ) -> None:
-        """`delay` returns the seconds until a call is answered; `late_by` is added for a late answer."""
+        """`delay` returns the seconds until a call is answered; `late_by` is added for a late answer.
+
+        A reset destroys calls that lie unread, and those written before the caller notices it. To the
+        `audited_callers` a connection is therefore half-closed instead, and read until they close it: each
+        call that they have written is handed to `on_call`.
+        """
         self.draw_outcome, self.delay, self.late_by, self.on_call = draw_outcome, delay, late_by, on_call
+        self.audited_callers = audited_callers
         self.totals: dict[int, float] = {}
         self.expires_at: dict[int, float] = {}
         self.servers: list[asyncio.Server] = []
-        self.writers: set[asyncio.StreamWriter] = set()
+        self.connections: set[CallerConnection] = set()
 
     async def listen(self, caller: int) -> int:
         """Opens a port for a caller; returns its number."""
-
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await self._serve(caller, reader, writer)
-
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: CallerConnection(self, caller), "127.0.0.1", 0)
         self.servers.append(server)
         return int(server.sockets[0].getsockname()[1])
 
     def close(self) -> None:
         for server in self.servers:
             server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+        for connection in list(self.connections):
+            connection.abort()
 
     def add(self, name: int, amount: float, lifetime: float) -> float:
         """Adds to an entry, which expires `lifetime` seconds after its first call; returns its total."""
@@ -102,52 +107,71 @@
         self.totals[name] += amount
         return self.totals[name]
 
-    async def _serve(self, caller: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Reads pipelined calls and answers them in order; after a connection reset those left are lost."""
-        self.writers.add(writer)
-        queue: asyncio.Queue[QueuedCall | None] = asyncio.Queue()
-        responding = asyncio.ensure_future(self._respond_all(caller, queue, writer))
+
+class CallerConnection(asyncio.Protocol):
+    """A connection of a caller: pipelined calls are answered in order, none after the connection's end."""
+
+    def __init__(self, counter: Counter, caller: int) -> None:
+        self.counter, self.caller = counter, caller
+        self.received = b""  # of a call that is not complete
+        self.queue: asyncio.Queue[QueuedCall | None] = asyncio.Queue()  # None: the connection has ended
+        self.ended = False  # by a fault: all further calls are lost
+
+    def connection_made(self, transport: Any) -> None:  # noqa: ANN401
+        self.transport = transport
+        self.counter.connections.add(self)
+        self.responding = asyncio.get_running_loop().create_task(self._respond_all())
+
+    def data_received(self, data: bytes) -> None:
+        *heads, self.received = (self.received + data).split(b"\r\n\r\n")
+        for head in heads:  # calls have no body
+            self.queue.put_nowait(QueuedCall(head.partition(b"\r\n")[0], time.monotonic()))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.queue.put_nowait(None)
+
+    def abort(self) -> None:
+        self.responding.cancel()
+        self.transport.abort()
+
+    async def _respond_all(self) -> None:
         try:
-            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-                while True:
-                    queue.put_nowait(QueuedCall(await read_message(reader), time.monotonic()))
-            queue.put_nowait(None)
-            with contextlib.suppress(asyncio.CancelledError):
-                await responding
+            while call := await self.queue.get():
+                outcome = CallOutcome.LOST if self.ended else self.counter.draw_outcome()
+                await self._respond(call, outcome)
         finally:
-            responding.cancel()
-            self.writers.discard(writer)
-            writer.close()
+            self.counter.connections.discard(self)
 
-    async def _respond_all(
-        self, caller: int, queue: asyncio.Queue[QueuedCall | None], writer: asyncio.StreamWriter
-    ) -> None:
-        is_broken = False
-        while call := await queue.get():
-            outcome = CallOutcome.LOST if is_broken else self.draw_outcome()
-            is_broken = not await self._respond(caller, call, outcome, writer) or is_broken
-
-    async def _respond(
-        self, caller: int, call: QueuedCall, outcome: CallOutcome, writer: asyncio.StreamWriter
-    ) -> bool:
-        """Handles one call; returns whether the connection stays open."""
-        match = CALL_PATTERN.fullmatch(call.message.start_line)
+    async def _respond(self, call: QueuedCall, outcome: CallOutcome) -> None:
+        match = CALL_PATTERN.fullmatch(call.start_line)
         if not match:
-            writer.write(http_response(400, b""))
-            return True
+            self._write(http_response(400, b""))
+            return
         name, amount, lifetime = int(match[1]), float(match[2]), int(match[3]) / 1000
-        await asyncio.sleep(max(0.0, call.arrived_at + self.delay() - time.monotonic()))
+        await asyncio.sleep(max(0.0, call.arrived_at + self.counter.delay() - time.monotonic()))
         now = time.monotonic()
-        self.on_call(Call(caller, name, amount, outcome, now, now - call.arrived_at))
-        total = self.add(name, amount, lifetime) if outcome.was_added else 0.0
+        self.counter.on_call(Call(self.caller, name, amount, outcome, now, now - call.arrived_at))
+        total = self.counter.add(name, amount, lifetime) if outcome.was_added else 0.0
         if outcome is CallOutcome.ADDED_LATE:
-            await asyncio.sleep(self.late_by)
+            await asyncio.sleep(self.counter.late_by)
         if outcome in (CallOutcome.LOST, CallOutcome.ADDED_AND_RESET):
-            writer.transport.abort()
-            return False
-        if not writer.is_closing():
-            body = b"<html>" if outcome is CallOutcome.ADDED_MALFORMED else f"{total:.6f}".encode()
-            writer.write(
-                http_response(503, b"") if outcome is CallOutcome.REJECTED else http_response(200, body)
-            )
-        return True
+            self._end()
+        elif outcome is CallOutcome.REJECTED:
+            self._write(http_response(503, b""))
+        else:
+            is_malformed = outcome is CallOutcome.ADDED_MALFORMED
+            self._write(http_response(200, b"<html>" if is_malformed else f"{total:.6f}".encode()))
+
+    def _write(self, response: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(response)
+
+    def _end(self) -> None:
+        """Resets the connection, or half-closes that of an audited caller and reads on."""
+        if self.transport.is_closing():
+            return
+        if self.caller not in self.counter.audited_callers:
+            reset(self.transport)
+        elif not self.ended:
+            self.transport.write_eof()
+        self.ended = True
--- a/testbed/standins/peer.py
+++ b/testbed/standins/peer.py
@@ -4,11 +4,21 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from dataclasses import dataclass, field
 
 from testbed.standins.http import Message, read_message
 
 TEST_TIMEOUT_S = 20.0  # for each thing that a test waits for
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
+
+
+def reset(transport: asyncio.WriteTransport) -> None:
+    """Ends a connection with a TCP reset; `abort` alone sends one only where data lies unread."""
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
 
 
 @dataclass
--- /dev/null
+++ b/tests/test_soak_counter.py
@@ -0,0 +1,73 @@
+"""The soak's stand-in counter: what it records of calls whose connection ends early."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+from net_helpers import run, until, with_timeout
+
+from testbed.standins.counter import Call, CallOutcome, Counter
+
+CALLER = 0
+CALL = b"POST /tally/%d?n=1.000000&keep_ms=1000 HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n"
+
+
+class Caller:
+    """A connection to a counter whose calls have the given outcomes, and are added once these are used up."""
+
+    def __init__(self, outcomes: list[CallOutcome]) -> None:
+        self.outcomes = outcomes
+        self.calls: list[Call] = []  # as the counter has handled them
+
+    def draw_outcome(self) -> CallOutcome:
+        return self.outcomes.pop(0) if self.outcomes else CallOutcome.ADDED
+
+    def write(self, name: int) -> None:
+        self.writer.write(CALL % name)
+
+    async def handled(self, count: int) -> list[tuple[int, CallOutcome]]:
+        """Name and outcome of the calls handled so far, once there are `count`."""
+        await until(lambda: len(self.calls) == count)
+        return [(call.name, call.outcome) for call in self.calls]
+
+
+@contextlib.asynccontextmanager
+async def connected(*outcomes: CallOutcome, is_audited: bool = True) -> AsyncIterator[Caller]:
+    caller = Caller(list(outcomes))
+    counter = Counter(
+        caller.draw_outcome, lambda: 0.0, 0.0, caller.calls.append,
+        audited_callers=frozenset({CALLER} if is_audited else ()),
+    )  # fmt: skip
+    caller.reader, caller.writer = await asyncio.open_connection("127.0.0.1", await counter.listen(CALLER))
+    yield caller
+    caller.writer.close()
+    counter.close()
+
+
+@pytest.mark.parametrize("fault", [CallOutcome.LOST, CallOutcome.ADDED_AND_RESET])
+def test_calls_written_after_a_connection_was_ended_are_recorded_as_lost(fault: CallOutcome) -> None:
+    # Guards against a false COUNTER_MISMATCH: a call lost unread was neither added nor uncertain.
+
+    async def test() -> None:
+        async with connected(fault) as caller:
+            caller.write(1)
+            assert await with_timeout(caller.reader.read()) == b""
+            caller.write(2)
+            caller.write(3)
+            lost = CallOutcome.LOST
+            assert await caller.handled(3) == [(1, fault), (2, lost), (3, lost)]
+
+    run(test())
+
+
+def test_a_caller_that_is_not_audited_is_reset() -> None:
+    async def test() -> None:
+        async with connected(CallOutcome.LOST, is_audited=False) as caller:
+            caller.write(1)
+            with pytest.raises(ConnectionResetError):
+                await with_timeout(caller.reader.read())
+
+    run(test())
