Call no reply certain where the gateway may have closed its connection to the counter

Cause: a gateway closes a connection at a reply that is no total, rightly, and takes the calls behind it for possibly added. The stand-in had read some, and recorded their results as certain.

Change: behind a malformed reply, or a call unanswered for so long that a gateway closes a stalled connection, results are recorded as uncertain; to the gateway whose units are checked nothing more is written there, and all is read. Where no reply was malformed or late, everything stays certain. Both new tests fail before (no such mark).

--- a/testbed/soak/run.py
+++ b/testbed/soak/run.py
@@ -233,7 +233,9 @@
         return self.rng.uniform(0.0, MAX_COUNTER_DELAY_S) if is_faulty else 0.0
 
     def _on_counter_call(self, call: Call) -> None:
-        is_certain = call.outcome.is_certain and call.reply_delay < CERTAIN_REPLY_TIME_S
+        is_certain = (
+            call.outcome.is_certain and call.is_reply_trusted and call.reply_delay < CERTAIN_REPLY_TIME_S
+        )
         self.add_entry(
             r.CounterCalled(call.at, call.caller, call.name, call.amount, call.outcome.was_added, is_certain)
         )
--- a/testbed/standins/counter.py
+++ b/testbed/standins/counter.py
@@ -15,6 +15,7 @@
 
 CALL_PATTERN = re.compile(rb"POST /tally/(\d+)\?n=(-?[\d.]+)&keep_ms=(\d+) HTTP/1\.1")
 MAX_LIFETIME_S = 60.0  # of an entry
+TRUSTED_REPLY_TIME_S = 0.4  # a caller may close a connection on which a call is not answered for longer
 
 
 class CallOutcome(Enum):
@@ -52,6 +53,7 @@
     outcome: CallOutcome
     at: float  # when it was handled (s, monotonic)
     reply_delay: float  # s since it was read
+    is_reply_trusted: bool  # the caller has no reason yet to close the connection ahead of the reply
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +118,8 @@
         self.received = b""  # of a call that is not complete
         self.queue: asyncio.Queue[QueuedCall | None] = asyncio.Queue()  # None: the connection has ended
         self.ended = False  # by a fault: all further calls are lost
+        # Until a reply that makes the caller close the connection, so that it gets none of the later ones.
+        self.trusted = True
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
         self.transport = transport
@@ -150,10 +154,13 @@
         name, amount, lifetime = int(match[1]), float(match[2]), int(match[3]) / 1000
         await asyncio.sleep(max(0.0, call.arrived_at + self.counter.delay() - time.monotonic()))
         now = time.monotonic()
-        self.counter.on_call(Call(self.caller, name, amount, outcome, now, now - call.arrived_at))
+        reply_delay = now - call.arrived_at
+        self._check_reply_time(call)
+        self.counter.on_call(Call(self.caller, name, amount, outcome, now, reply_delay, self.trusted))
         total = self.counter.add(name, amount, lifetime) if outcome.was_added else 0.0
         if outcome is CallOutcome.ADDED_LATE:
             await asyncio.sleep(self.counter.late_by)
+            self._check_reply_time(call)
         if outcome in (CallOutcome.LOST, CallOutcome.ADDED_AND_RESET):
             self._end()
         elif outcome is CallOutcome.REJECTED:
@@ -161,16 +168,30 @@
         else:
             is_malformed = outcome is CallOutcome.ADDED_MALFORMED
             self._write(http_response(200, b"<html>" if is_malformed else f"{total:.6f}".encode()))
+            self.trusted = self.trusted and not is_malformed
+
+    def _check_reply_time(self, call: QueuedCall) -> None:
+        if time.monotonic() - call.arrived_at > TRUSTED_REPLY_TIME_S:
+            self.trusted = False
 
     def _write(self, response: bytes) -> None:
-        if not self.transport.is_closing():
-            self.transport.write(response)
+        """Writes a response, unless an audited caller may have closed the connection.
+
+        A write to a closed connection fails, and what lies unread in it is lost.
+        """
+        if self.transport.is_closing() or (self.is_audited and not self.trusted):
+            return
+        self.transport.write(response)
+
+    @property
+    def is_audited(self) -> bool:
+        return self.caller in self.counter.audited_callers
 
     def _end(self) -> None:
         """Resets the connection, or half-closes that of an audited caller and reads on."""
         if self.transport.is_closing():
             return
-        if self.caller not in self.counter.audited_callers:
+        if not self.is_audited:
             reset(self.transport)
         elif not self.ended:
             self.transport.write_eof()
