Open a new connection for a call to the counter when the last one is closing

Cause: with the end of a connection read, its transport is closing, and connection_lost comes one turn of the loop later. A call between them was written to the closing transport, which ignores it, and counted as possibly added: its units reached the shared bucket never.

Excluded: calls lost unread by the stand-in.

Change: such a connection counts as closed, and the call opens a new one. The new test failed before (no call came).

--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -71,7 +71,7 @@
         head = f"POST /tally/{name}?n={amount:.6f}&keep_ms={lifetime_ms} HTTP/1.1\r\nHost: {host}:{port}\r\n"
         call = Call(name, f"{head}Content-Length: 0\r\n\r\n".encode())
         connection = self.connections[name % MAX_CONNECTIONS]
-        if connection is None or connection.closed:
+        if connection is None or connection.is_closing:
             connection = self.connections[name % MAX_CONNECTIONS] = Connection(self)
             task = self.loop.create_task(self._connect(connection))
             self.connect_tasks.add(task)
@@ -147,6 +147,11 @@
         self.size = MessageSize(MAX_OVERHEAD_BYTES, MAX_TOTAL_BYTES)  # since the last complete response
         self.draining = False  # to be closed once all its calls are answered
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether nothing more can be written, as for an end already read whose `connection_lost` is due."""
+        return self.closed or (self.transport is not None and self.transport.is_closing())
+
     def add(self, call: Call) -> None:
         self.calls.append(call)
         if self.transport:
--- a/tests/test_counter_calls.py
+++ b/tests/test_counter_calls.py
@@ -53,6 +53,26 @@
     run(test())
 
 
+def test_a_call_after_the_end_of_a_connection_was_read_goes_over_a_new_one() -> None:
+    # Guards against a call ignored by a closing transport, whose amount counted as perhaps added.
+
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            (await peer.next_request()).reply(total("1"))
+            assert (await with_timeout(replies.get())).ok
+            connection = calls.connections[8 % len(calls.connections)]
+            assert connection and connection.transport
+            connection.transport.close()  # `connection_lost` follows in the next turn of the loop
+            calls.add(8, 2.0, 4.0)
+            arrived = await peer.next_request()
+            assert arrived.connection == 2
+            arrived.reply(total("3"))
+            assert await with_timeout(replies.get()) == CounterReply(8, True, 3.0)
+
+    run(test())
+
+
 def test_many_answers_that_arrive_together_are_each_within_the_limit_on_one() -> None:
     # Guards against the sizes of several answers added up and their connection closed, as a stall ends.
 
