Forward answers with no stated length that end in order

Cause: HostConnection.connection_lost ends each attempt as a reset, whether the host ended the connection or reset it; nothing completes the response at the end of input.

Excluded: data that lies unread as a reset follows; a whole answer with a stated length is read and served then.

Change: an orderly end completes a response whose head states neither a length nor a transfer coding. Bounds on length and time are as before, the connection is closed.

--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import logging
 import math
 import re
 import select
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -108,6 +110,7 @@
         self.body = bytearray()  # one buffer: short pieces of their own would take many times their size
         self.status = self.interim_count = 0
         self.head_complete = False  # of the final response
+        self.length_stated = False  # by its head; if not, the end of the connection is the end of the body
         self.size.reset()
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
@@ -188,14 +191,35 @@
             return
         self.head_complete = True
         for name, value in self.headers:
-            if name.lower() == b"content-length" and is_body_too_large(value):
+            lower = name.lower()
+            if lower == b"content-length" and is_body_too_large(value):
                 raise ValueError("body too large")  # rather than wait for 3 GB to arrive
+            # A body with a transfer coding other than chunked is not forwarded, as it cannot be decoded.
+            if lower in (b"content-length", b"transfer-encoding"):
+                self.length_stated = True
 
     def on_body(self, body: bytes) -> None:
         if not self.response_complete:
             self.body += body
             self.size.add_body(body)
 
+    def eof_received(self) -> None:
+        """An orderly end completes a response with no stated length; `connection_lost` ends any other."""
+        if self.attempt and self.head_complete and not self.length_stated and not self._was_reset():
+            self.status = self.parser.get_status_code()
+            self.keep_alive = False
+            self._complete_response()
+
+    def _was_reset(self) -> bool:
+        """Whether the host reset the connection without a FIN before.
+
+        The loop reports an end after the last bytes if a reset arrived together with them (libuv,
+        `uv__stream_io`); the error is then still pending on the socket. After a FIN it is EPIPE.
+        """
+        assert self.transport is not None
+        connection = self.transport.get_extra_info("socket")
+        return connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) not in (0, errno.EPIPE)
+
     def on_message_complete(self) -> None:
         if self.response_complete:
             return
--- a/tests/upstream_helpers.py
+++ b/tests/upstream_helpers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -12,6 +13,7 @@
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.upstream import Attempt, Response, Upstreams
+from testbed.standins.peer import RESET_ON_CLOSE
 
 PAYLOAD = b"GET /api HTTP/1.1\r\nX-Request-ID: r1\r\n\r\n"
 
@@ -56,3 +58,38 @@
     host, clock = await FakeServer(auto).start(), TestClock()
     yield Harness(Upstreams(clock, connect_timeout, 15.0, max_connections), clock, host)
     host.stop()
+
+
+class RawHost:
+    """A host on a plain socket: its writes and ends have arrived before the loop turns again."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.listener.setblocking(False)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        host, port = self.listener.getsockname()
+        return host, port
+
+    async def accept_request(self) -> None:
+        """Accepts a connection and reads the request on it."""
+        loop = asyncio.get_running_loop()
+        self.connection, _ = await with_timeout(loop.sock_accept(self.listener))
+        assert await with_timeout(loop.sock_recv(self.connection, 65536))
+
+    def write(self, data: bytes) -> None:
+        self.connection.sendall(data)
+
+    def end(self) -> None:
+        self.connection.shutdown(socket.SHUT_WR)
+
+    def reset(self) -> None:
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.connection.close()
+
+    def close(self) -> None:
+        self.connection.close()
+        self.listener.close()
