Ask the decision module again just before an attempt is written

Cause: Gateway._may_retry_on checks the window as it decides; the attempt then waits for a connection, and build_payload in Node._send checked client, deadline and host again, but not the window.

Excluded: first attempts and safe classes (no window), hedged requests (none are sent).

Change: Gateway.may_write is the one rule for what was decided about time: client, deadline, drain, window. The node asks it just before the write and keeps only the check that the host's address is the same. The window ends 0.1 s early, for a gateway that is held up between clock and write. The test of host and client between connect and write now runs with the real module, and looks at the host and the client's answer rather than at the outcome told to a script, which can't know of a drain.

--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -315,6 +315,16 @@
     deadline: float  # when the attempt times out; 0: when the request expires
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptWrite:
+    """A question to the decision module: may an attempt, ordered before, be written now?"""
+
+    request: str
+    attempt: int
+    deadline: float  # of the attempt
+    client_waits: bool  # not answered, and has not left
+
+
 @dataclass(frozen=True, slots=True)
 class Cancel:
     """Cancel an attempt."""
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -45,6 +45,8 @@
 EWMA_WEIGHT = 0.05  # weight of the newest sample; the average over about 20 samples is accurate to a fifth
 MIN_TIMEOUT_MULTIPLE = 5.0  # shortest early timeout, in mean delays: one attempt in a hundred takes longer
 RETRY_RESERVE_MULTIPLE = 3.0  # mean delays before the latency target that are reserved for a retry
+# A gateway may be held up for 0.15 s between the clock and the write; limits on time grow by 0.05 s.
+KEY_WINDOW_MARGIN_S = 0.1
 MIN_RETRY_RESERVE_S = 0.02  # least time reserved for a retry: a loaded gateway may notice a timeout this late
 
 
@@ -290,10 +292,15 @@
         one is not retried.
         """
         was_tried = any(a.host.info.id == host.info.id for a in pending.attempts)
+        return not was_tried and self._class_allows(now, pending, host)
+
+    def _class_allows(self, now: float, pending: PendingRequest, host: Host) -> bool:
+        """Whether the request's class allows an attempt at this host, after those that may have run."""
         first, cls = pending.may_have_run, self.settings.classes[pending.request.class_index]
-        if was_tried or first is None or cls.idempotency is Idempotency.SAFE:
-            return not was_tried
-        if cls.idempotency is Idempotency.UNSAFE or now >= first.sent_at + cls.key_ttl:
+        if first is None or cls.idempotency is Idempotency.SAFE:
+            return True
+        window_end = first.sent_at + cls.key_ttl - KEY_WINDOW_MARGIN_S
+        if cls.idempotency is Idempotency.UNSAFE or now >= window_end:
             return False
         if cls.dedup_scope is api.DedupScope.ZONE:
             return host.info.zone == first.host.info.zone
@@ -301,6 +308,19 @@
 
     # Attempts and their outcomes
 
+    def may_write(self, now: float, write: api.AttemptWrite) -> bool:
+        """Whether what was decided when an attempt was ordered still holds as it is about to be written.
+
+        Since then it may have waited for a connection. Its client must still wait, its time not be over, its
+        host still be the one that was chosen and not drain, and a key still be remembered.
+        """
+        pending = self.requests.get(write.request)
+        if pending is None or not pending.is_open or not write.client_waits or now >= write.deadline:
+            return False
+        host = pending.attempts[write.attempt].host
+        is_listed = self.hosts.get(host.info.id) is host and host.info.state is api.HostState.HEALTHY
+        return is_listed and self._class_allows(now, pending, host)
+
     def _refuse(self, refused: Refused) -> None:
         self.refusal_log.record(refused.reason)
         wait, cls = refused.wait, self.settings.classes[refused.request.class_index]
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -3,7 +3,7 @@
 Which host gets an attempt, whether there is another one and what is refused is up to the decision module. The
 node decides alone only to protect itself and the transport: it turns away a request whose id is in use or for
 which it has no room, answers a request that the module has failed to decide, ends a request at its deadline,
-and does not send an attempt if, since the module ordered it, the client has left or the host takes no more.
+and does not send an attempt to an address that its host no longer has.
 """
 
 from __future__ import annotations
@@ -311,36 +311,40 @@
             pending.attempts.append(attempt)
             attempt.end(Outcome.NOT_SENT)
             return
-        deadline = min(action.deadline or pending.expires_at, pending.expires_at)
+        attempt_deadline = action.deadline or pending.expires_at
 
         def build_payload() -> bytes | None:
             if pending.exchange.connection.is_disconnected():
                 self.client_disconnected(pending.exchange)
-            if pending.answered or not self._may_send_to(endpoint):
+            now, deadline = self.clock.now(), min(attempt_deadline, pending.expires_at)
+            write = api.AttemptWrite(action.request, number, deadline, client_waits=not pending.answered)
+            if not self._is_listed(endpoint) or not self._may_write(now, write):
                 return None
-            remaining = deadline - self.clock.now()
-            return self._build_request(pending, remaining) if remaining > 0 else None
+            return self._build_request(pending, deadline - now)
 
         attempt = Attempt(
             action.host, endpoint.address, build_payload, partial(self._attempt_done, pending), number, now
         )
         attempt.host_started_at = endpoint.host.started_at
         pending.attempts.append(attempt)
-        if deadline < pending.expires_at - TIMER_RESOLUTION_S:
+        if attempt_deadline < pending.expires_at - TIMER_RESOLUTION_S:
             attempt.timer = self.loop.call_later(
-                max(0.0, deadline - now), self.upstreams.abort_attempt, attempt, Outcome.TIMEOUT
+                max(0.0, attempt_deadline - now), self.upstreams.abort_attempt, attempt, Outcome.TIMEOUT
             )
         self.upstreams.send(attempt)
 
-    def _may_send_to(self, chosen: Endpoint) -> bool:
-        """Whether the chosen host is still listed with the same start time and address, and is not draining.
-
-        The drain grace is not used for new attempts, as this gateway may have learnt of the drain late.
-        """
+    def _is_listed(self, chosen: Endpoint) -> bool:
+        """Whether the chosen host is still listed with the same start time and address."""
         endpoint = self.discovery.endpoints.get(chosen.host.id)
-        return (
-            endpoint is not None and endpoint.host_instance == chosen.host_instance and not endpoint.draining
-        )
+        return endpoint is not None and endpoint.host_instance == chosen.host_instance
+
+    def _may_write(self, now: float, write: api.AttemptWrite) -> bool:
+        """Asks the decision module; if that fails, nothing is written."""
+        try:
+            return self.gateway.may_write(now, write)
+        except Exception:
+            log.exception("decision module failed on %r", write)
+            return False
 
     @staticmethod
     def _build_request(pending: PendingRequest, remaining: float) -> bytes:
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -233,6 +233,9 @@
         self.events.append(event)
         return self.responses.get(type(event), lambda _: [])(event)
 
+    def may_write(self, now: float, write: api.AttemptWrite) -> bool:
+        return write.client_waits and now < write.deadline
+
     def received(self, event_type: type) -> list[Any]:
         return [event for event in self.events if isinstance(event, event_type)]
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -176,17 +176,15 @@
     async def test() -> None:
         host = await FakeServer(http_response()).start()
         known = host_entry("s-1", host.port)
-        async with running_gateway(known) as w:
-            send_all(w, "s-1")
+        async with running_gateway(known, real_module=True) as w:
             watch = await w.registry.watch()
             started, go = hold_connects(w.node.upstreams)
             client = await w.client()
             client.send(request())
             await with_timeout(started.wait())
-            seen = len(w.script.received(api.HostList))
             if change == "client":
                 client.close()
-                await until(lambda: w.script.received(api.RequestAbandoned))
+                await until(lambda: w.node.pending["r1"].answered)
             elif change != "none":
                 more = {
                     "left": {"status": "left"},
@@ -194,19 +192,53 @@
                     "restarted": {"since_ms": 1000},
                     "moved": {"address": "127.0.0.1:1"},
                 }[change]
+                before = w.node.discovery.endpoints["s-1"]
                 watch.reply(chunk(list_message(42, {**known, **more})))
-                await until(lambda: len(w.script.received(api.HostList)) > seen)
+                await until(lambda: w.node.discovery.endpoints.get("s-1") != before)
             go.set()
-            done = await w.attempt_done()
-            if change == "none":
-                assert done.outcome is Outcome.OK and host.requests.qsize() == 1
-            else:
-                assert done.outcome is Outcome.NOT_SENT and host.requests.empty()
+            if change != "client":
+                assert (await client.receive()).status == (200 if change == "none" else 503)
+            await until(lambda: not w.node.pending)
+            assert host.requests.qsize() == (1 if change == "none" else 0)
         host.stop()
 
     run(test())
 
 
+@pytest.mark.parametrize("connects", ["within the window", "after the window"])
+def test_a_keyed_request_is_not_written_after_its_keys_window(connects: str) -> None:
+    # Guards against a second run: decided in time, the attempt waited for a connection past the window.
+    window = 2.0  # s
+
+    async def test() -> None:
+        hosts = {f"s-{i}": await FakeServer().start() for i in range(2)}
+        known = [host_entry(name, host.port) for name, host in hosts.items()]
+        keyed = {"name": "write", "repeat": "guarded", "group": "all", "key_ttl_s": window}
+        classes = [{**keyed, "aim_s": 5.0, "give_up_s": 30.0, "worth": 2.0}]
+        async with running_gateway(*known, real_module=True, classes=classes) as w:
+            client = await w.client()
+            client.send(request("r1", "write", body=b"x", Idempotency_Key="k1"))
+            await until(lambda: any(host.requests.qsize() for host in hosts.values()))
+            first, other = sorted(hosts.values(), key=lambda host: -host.requests.qsize())
+            started, go = hold_connects(w.node.upstreams)
+            (await first.next_request()).reset()
+            await with_timeout(started.wait())
+            if connects == "after the window":
+                now = w.node.clock.now
+                w.node.clock.now = lambda: now() + window  # type: ignore[method-assign]
+            go.set()
+            if connects == "within the window":
+                (await other.next_request()).reply(http_response())
+                assert (await client.receive()).status == 200
+            else:
+                assert (await client.receive()).status == 503  # answered at once; trying again is harmless
+                assert other.requests.empty()
+        for host in hosts.values():
+            host.stop()
+
+    run(test())
+
+
 @pytest.mark.parametrize("attempt", ["first", "further"])
 def test_nothing_is_sent_for_a_client_that_has_closed_before_the_loop_notices(attempt: str) -> None:
     """With an idle connection to the host, an attempt is written before the loop reads the client's close."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,7 @@
 from helpers import PLAN, READ, Bench, full_list, host_info
 
 from coralvale import interface as api
+from coralvale.logic import KEY_WINDOW_MARGIN_S
 
 KEYED = replace(
     READ, latency_target=4.0, idempotency=api.Idempotency.KEYED, dedup_scope=api.DedupScope.CELL, key_ttl=2.0
@@ -117,6 +118,63 @@
     assert_only(bench.done(name, api.Outcome.CANCELLED), api.Refuse)  # too late for a retry
 
 
+# What was decided is checked again as an attempt is written, as it may have waited for a connection
+
+
+def may_write(
+    bench: Bench, name: str, attempt: int = 0, client_waits: bool = True, in_time: float = 1.0
+) -> bool:
+    write = api.AttemptWrite(name, attempt, bench.now + in_time, client_waits)
+    return bench.gateway.may_write(bench.now, write)
+
+
+def test_a_keyed_attempt_is_not_written_once_its_key_may_be_forgotten() -> None:
+    # Guards against a second run of a keyed request that waited for a connection past its key's window.
+    bench = Bench(classes=(KEYED,))
+    name, _ = bench.request()
+    bench.now += KEYED.key_ttl - KEY_WINDOW_MARGIN_S - 0.01
+    assert may_write(bench, name)
+    assert_only(bench.done(name, api.Outcome.ERROR), api.Send)
+    assert may_write(bench, name, attempt=1)
+    bench.now += 0.02
+    assert not may_write(bench, name, attempt=1)
+    assert bench.done(name, api.Outcome.NOT_SENT, attempt=1) == [api.Fail(name)]
+
+
+def test_a_first_or_safe_attempt_is_written_however_long_it_has_waited() -> None:
+    for request_class in (KEYED, UNSAFE, READ):
+        bench = Bench(classes=(request_class,))
+        name, _ = bench.request()
+        bench.now += 3.5
+        assert may_write(bench, name)
+    bench = Bench()
+    name, _ = bench.request()
+    assert_only(bench.done(name, api.Outcome.ERROR), api.Send)
+    bench.now += 3.5
+    assert may_write(bench, name, attempt=1)
+
+
+def test_no_attempt_is_written_without_a_client_or_time_or_the_host_that_was_chosen() -> None:
+    bench = Bench(hosts=(host_info("a"),))
+    name, _ = bench.request()
+    assert may_write(bench, name)
+    assert not may_write(bench, name, client_waits=False)
+    assert not may_write(bench, name, in_time=0.0)
+    assert not may_write(bench, "unknown")
+    for change in (
+        host_info("a", state=api.HostState.DRAINING),
+        host_info("a", state=api.HostState.GONE),
+        host_info("a", started_at=bench.now),
+    ):
+        bench.feed(api.HostList(api.ListKind.CHANGES, (change,)))
+        assert not may_write(bench, name)
+        bench.feed(api.HostList(api.ListKind.CHANGES, (host_info("a"),)))
+    bench = Bench()
+    name, _ = bench.request()
+    bench.feed(api.RequestAbandoned(name))
+    assert not may_write(bench, name)
+
+
 # Draining hosts get nothing new
 
 
