Acknowledge at once what hosts send, so that no stray response is held back

Cause: REUSE_DELAY_S takes 20 ms of silence for the proof that nothing follows. The host's system holds a small second write until the first is acknowledged, which the gateway's system delays by up to 40 ms or sends with the next request; the copy comes behind that request.

Change: TCP_QUICKACK is set as data of a host is read.

--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -119,8 +119,9 @@
         # With a limit of 0, pause_writing is called whenever data is not yet fully written to the socket.
         transport.set_write_buffer_limits(high=0)
         self.parser = httptools.HttpResponseParser(self)
+        self.socket = transport.get_extra_info("socket")
         self.poll = select.poll()
-        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.poll.register(self.socket.fileno(), select.POLLIN)
 
     def pause_writing(self) -> None:
         self.write_pending = True
@@ -154,6 +155,7 @@
         if self.attempt is None:  # no request is outstanding
             self.close()
             return
+        self._acknowledge()
         try:
             self._parse(data)
         except Exception:
@@ -161,6 +163,14 @@
             log.exception("cannot read the response of a host")
             self._finish(Outcome.ERROR)
 
+    def _acknowledge(self) -> None:
+        """Has the system acknowledge what was read at once rather than up to 40 ms later.
+
+        A host without TCP_NODELAY holds a small write back until then: the rest of a response, or a stray
+        second one, which would come after `REUSE_DELAY_S` and be taken for the response to the next request.
+        """
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+
     def _parse(self, data: bytes) -> None:
         self.size.add_received(data)
         try:
@@ -216,9 +226,7 @@
         The loop reports an end after the last bytes if a reset arrived together with them (libuv,
         `uv__stream_io`); the error is then still pending on the socket. After a FIN it is EPIPE.
         """
-        assert self.transport is not None
-        connection = self.transport.get_extra_info("socket")
-        return connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) not in (0, errno.EPIPE)
+        return self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) not in (0, errno.EPIPE)
 
     def on_message_complete(self) -> None:
         if self.response_complete:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,10 +12,10 @@
 
 import pytest
 from net_helpers import FakeServer, hold_connects, http_response, run, until, with_timeout
-from upstream_helpers import PAYLOAD, harness
+from upstream_helpers import PAYLOAD, RawHost, harness
 
 from coralvale.interface import Outcome
-from coralvale.net.upstream import Attempt, IdleLimit, parse_load_report, parse_usage
+from coralvale.net.upstream import REUSE_DELAY_S, Attempt, IdleLimit, parse_load_report, parse_usage
 
 
 @pytest.mark.parametrize(
@@ -396,6 +396,27 @@
     run(test())
 
 
+def test_what_a_host_writes_is_acknowledged_at_once() -> None:
+    # Guards against a second response held back by a host without TCP_NODELAY past the reuse delay. Once a
+    # connection has carried some requests, the system delays acknowledgements, by 40 ms or more.
+
+    async def test() -> None:
+        host = RawHost()
+        async with harness() as h:
+            held = []
+            for number in range(40):
+                h.send(address=host.address)
+                await (host.read_request() if number else host.accept_request())
+                host.write(http_response())
+                assert await h.outcome() is Outcome.OK
+                held.append(host.unacknowledged_bytes())
+                h.clock.offset += REUSE_DELAY_S
+            assert held.count(0) >= 20  # all but one stayed unacknowledged before; a busy system may be late
+        host.close()
+
+    run(test())
+
+
 def test_a_failure_to_read_a_response_ends_its_attempt_once(monkeypatch: pytest.MonkeyPatch) -> None:
     def fail(value: bytes) -> float:
         raise MemoryError
--- a/tests/upstream_helpers.py
+++ b/tests/upstream_helpers.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -78,8 +81,18 @@
         """Accepts a connection and reads the request on it."""
         loop = asyncio.get_running_loop()
         self.connection, _ = await with_timeout(loop.sock_accept(self.listener))
+        await self.read_request()
+
+    async def read_request(self) -> None:
+        """Reads a further request on the connection, which must be short."""
+        loop = asyncio.get_running_loop()
         assert await with_timeout(loop.sock_recv(self.connection, 65536))
 
+    def unacknowledged_bytes(self) -> int:
+        """Bytes written that the gateway's system has not acknowledged, or that are not sent yet."""
+        buffer = fcntl.ioctl(self.connection, termios.TIOCOUTQ, struct.pack("i", 0))
+        return int(struct.unpack("i", buffer)[0])
+
     def write(self, data: bytes) -> None:
         self.connection.sendall(data)
 
