Serve no response that came before its request was written in full

Cause: HostConnection._complete_response asked write_pending only whether to keep the connection.

Change: such an attempt fails like one with a spoilt response; a response that turns the request away keeps its meaning. The test failed before.

--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -260,7 +260,10 @@
                 response.load_report = parse_load_report(value, self.pool.upstreams.load_report_fields)
             elif lower not in HEADERS_NOT_FORWARDED:
                 response.headers.append((name, value))
-        if status == 200 and not self.size.body_exceeded:
+        if status == 200 and self.write_pending:
+            # A host begins a request once its last byte has come, so this was made for another one.
+            outcome = Outcome.ERROR
+        elif status == 200 and not self.size.body_exceeded:
             outcome = Outcome.OK
         elif status in (503, 504) and not_processed:
             outcome = Outcome.FULL
--- a/tests/test_response_ends.py
+++ b/tests/test_response_ends.py
@@ -162,3 +162,28 @@
             assert outcome is Outcome.FULL and response and response.status == 503
 
     run(test())
+
+
+@pytest.mark.parametrize(
+    ("response", "outcome"),
+    [
+        (http_response(200, b"of another"), Outcome.ERROR),
+        (http_response(503, b"", X_Not_Processed="1"), Outcome.FULL),
+    ],
+)
+def test_a_response_before_the_whole_request_was_written_is_not_served(
+    response: bytes, outcome: Outcome
+) -> None:
+    # Guards against a stray response taken for that to a request which its host does not have yet.
+
+    async def test() -> None:
+        host = RawHost()
+        async with harness() as h:
+            h.send(b"x" * (64 * 1024 * 1024), address=host.address)  # more than the sockets' buffers hold
+            await host.accept_request()
+            host.write(response)
+            assert (await ended(h))[0] is outcome
+            await until(lambda: not h.upstreams.connections)
+        host.close()
+
+    run(test())
