Count a counter's interim responses towards the limit on its response

Seen: by reading, and now by a test on real sockets: interim responses without end keep a call's connection busy for good.

Cause: Connection.on_message_complete began the count of bytes anew at each interim response.

Change: only a final response begins it anew. The test failed before (no reply within 20 s).

--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -204,10 +204,10 @@
             raise ValueError("response without a call")
 
     def on_message_complete(self) -> None:
-        self.size.reset()
         status, body, self.body = self.parser.get_status_code(), self.body, b""
-        if status < 200:
+        if status < 200:  # an interim response, which counts towards the limit on the final one
             return
+        self.size.reset()
         call = self.calls.popleft()
         if status == 200 and TOTAL_PATTERN.fullmatch(body):
             self.client.reply(call, CounterReply(call.name, True, float(body)))
--- a/tests/test_counter_calls.py
+++ b/tests/test_counter_calls.py
@@ -110,6 +110,24 @@
     run(test())
 
 
+def test_interim_responses_without_end_fail_their_call() -> None:
+    # Guards against a connection kept busy for good, as each interim response began the count of bytes anew.
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+    async def test() -> None:
+        async with counter(time_out=1000.0) as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            (await peer.next_request()).reply(interim + total("1"))
+            assert (await with_timeout(replies.get())).ok
+            calls.add(8, 1.0, 4.0)
+            arrived = await peer.next_request()
+            for _ in range(MAX_OVERHEAD_BYTES // len(interim) + 1):
+                arrived.reply(interim)
+            assert await with_timeout(replies.get()) == CounterReply(8, False, 0.0, maybe_added=True)
+
+    run(test())
+
+
 def test_a_call_may_be_added_if_the_connection_breaks_but_not_if_it_is_refused() -> None:
     async def test() -> None:
         async with counter() as (calls, peer, replies):
