Read at most 16 invalid messages on a watch of discovery

Cause: Watch._read_messages read on behind each invalid message, logged it, and copied the rest of the text for each message; the error for invalid JSON counts the lines ahead of it.

Change: after 16 invalid messages the rest is left, as the watch closes anyway and the next one asks for the full list. Positions in the text replace the copies.

The new test failed before.

--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -36,6 +36,8 @@
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024  # room for thousands of hosts, indented
 # Strings are matched whole, so that brackets in them do not count; none of them spans lines.
 STRING_OR_BRACKET = re.compile(rb'"(?:[^"\\]|\\.)*"|([\[{])|([\]}])')
+MAX_REJECTED_MESSAGES = 16  # read on a watch: what follows them comes again with the full list
+WHITESPACE = re.compile(r"\s*")
 EMPTY_LINE = re.compile(r"\n[ \t\r]*\n")
 DECODER = json.JSONDecoder()
 HOST_STATES = {
@@ -280,6 +282,12 @@
         return useful
 
 
+def skip_whitespace(text: str, position: int) -> int:
+    """The position of the first other character from `position` on, or the length of the text."""
+    match = WHITESPACE.match(text, position)
+    return match.end() if match else position
+
+
 class Watch(asyncio.Protocol):
     """One watch: a chunked response of JSON objects, with empty lines as heartbeats between them."""
 
@@ -289,6 +297,7 @@
         self.responded = self.received = self.malformed = False
         self.timed_out = False  # closed because it was silent for too long
         self.partial = False  # whether `buffer` holds whole lines of an incomplete message
+        self.rejected = 0  # invalid messages
         self.scanned = self.depth = 0  # bytes of `buffer` scanned for brackets, and brackets open after them
         self.transport: asyncio.Transport | None = None
         loop = asyncio.get_running_loop()
@@ -345,21 +354,23 @@
     def _read_messages(self) -> None:
         """Applies and removes the complete messages: JSON objects on one line, or indented over several."""
         whole, end, unfinished = self.buffer.rpartition(b"\n")
-        text = (whole + end).decode(errors="replace").lstrip()
-        while text:
+        text = (whole + end).decode(errors="replace")
+        stripped_length = len(text.rstrip())
+        position = skip_whitespace(text, 0)
+        while position < len(text) and self.rejected < MAX_REJECTED_MESSAGES:
             try:
-                message, size = DECODER.raw_decode(text)
+                message, message_end = DECODER.raw_decode(text, position)
             except (json.JSONDecodeError, RecursionError) as error:
                 # JSON that ends too early is a message still arriving, unless it contains an empty line.
-                early = isinstance(error, json.JSONDecodeError) and error.pos >= len(text.rstrip())
-                if early and not EMPTY_LINE.search(text):
+                early = isinstance(error, json.JSONDecodeError) and error.pos >= stripped_length
+                if early and not EMPTY_LINE.search(text, position):
                     break
-                size = text.index("\n")
-                self._reject(text[:size], error)
+                message_end = text.index("\n", position)
+                self._reject(text[position:message_end], error)
             else:
                 self._apply_message(message)
-            text = text[size:].lstrip()
-        self.partial, self.buffer = bool(text), text.encode() + unfinished
+            position = skip_whitespace(text, message_end)
+        self.partial, self.buffer = position < len(text), text[position:].encode() + unfinished
         self.scanned = self.depth = 0
 
     def _apply_message(self, message: Any) -> None:  # noqa: ANN401
@@ -377,10 +388,12 @@
     def _reject(self, text: str, error: Exception) -> None:
         """Logs an invalid message, after which the next watch asks for the full list.
 
-        The other messages received with it are still read, then this watch closes.
+        The other messages received with it are still read, up to MAX_REJECTED_MESSAGES invalid ones; then
+        this watch closes.
         """
         log.warning("discovery: cannot use message %.200r: %r", text, error)
         self.malformed = True
+        self.rejected += 1
         self.owner.index = None
 
     def on_message_complete(self) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -29,7 +29,7 @@
 
 from coralvale import interface as api
 from coralvale.net.config import HostInstance
-from coralvale.net.discovery import MAX_QUEUE_WAIT_S, Discovery
+from coralvale.net.discovery import MAX_QUEUE_WAIT_S, MAX_REJECTED_MESSAGES, Discovery
 from coralvale.net.node import MAX_PROPAGATION_DELAY_S
 
 Change = tuple[api.ListKind, tuple[api.HostInfo, ...], list[HostInstance]]
@@ -424,6 +424,25 @@
     run(test())
 
 
+def test_only_some_invalid_lines_are_read_before_the_full_list_is_asked_for(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # Guards against a gateway that reads and logs tens of thousands of invalid lines in one turn of its loop.
+
+    async def test() -> None:
+        async with bench() as b:
+            await b.next_change()
+            (await b.registry.watch()).reply(chunk(b"x\n" * 20_000))
+            again = await b.registry.watch()
+            assert again.message.start_line == b"GET /discovery/hosts?stream=1 HTTP/1.1"
+            again.reply(chunk(list_message(42, host_entry("s-3", 3))))
+            _, hosts, _ = await b.next_change()
+            assert [host.id for host in hosts] == ["s-3"]
+
+    run(test())
+    assert 1 <= caplog.text.count("cannot use message") <= MAX_REJECTED_MESSAGES
+
+
 @pytest.mark.parametrize("indent", [0, 2])
 @pytest.mark.parametrize("piece", [7, 10_000])
 def test_a_list_may_be_indented_and_arrive_in_pieces_of_any_size(indent: int, piece: int) -> None:
