Move responses and the limit on idle time out of the file of host connections

upstream.py had grown with each mend. A response and what its headers report now stand in net/response.py, the limit on idle time in net/idle_limit.py, and the outcome of a response is one function. Nothing else changes; one test patches parse_usage in its new place.

--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -24,8 +24,9 @@
 from coralvale.net.counter import CounterClient
 from coralvale.net.discovery import Discovery, Endpoint
 from coralvale.net.request import ParsedRequest
+from coralvale.net.response import Response
 from coralvale.net.server import HEADERS_NOT_FORWARDED, Exchange, Server
-from coralvale.net.upstream import Attempt, Response, Upstreams
+from coralvale.net.upstream import Attempt, Upstreams
 
 log = logging.getLogger(__name__)
 
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -8,10 +8,7 @@
 
 import asyncio
 import errno
-import json
 import logging
-import math
-import re
 import select
 import socket
 from collections import deque
@@ -24,42 +21,19 @@
 from coralvale.interface import Outcome
 from coralvale.net.clock import TIMER_RESOLUTION_S, Clock
 from coralvale.net.config import Address, HostInstance
+from coralvale.net.idle_limit import IdleLimit
 from coralvale.net.message_size import MessageSize, is_body_too_large
+from coralvale.net.response import Response, read_response
 
 MAX_OVERHEAD_BYTES = 64 * 1024  # of a response besides its body, with its interim responses
 MAX_INTERIM_RESPONSES = 8  # with status 1xx, ahead of the final one
 REUSE_DELAY_S = 0.02  # from a response to the next request: a stray second response may follow some ms later
-MAX_USAGE, MAX_LOAD = 1000.0, 1e6  # reported figures above these are ignored
 IDLE_TIMEOUT_SHARE = 0.8  # of the hosts' idle timeout, after which this side closes an idle connection
-IDLE_TIME_BUCKETS = 36  # their lower bounds go from 1 ms up, each the square root of two times the one before
-CONNECT_COST = 0.2  # of opening a connection, where losing a request by reuse costs 1
-LOSS_THRESHOLD = 0.5  # losses above which the idle limit is lowered: one break, 1 - CONNECT_COST, is enough
-LOSS_HALF_LIFE_S = 10.0  # in which recorded losses halve
 SWEEP_INTERVAL_S = 1.0  # between checks for connections that have been idle for too long
 
-# Response headers that apply to one connection only, or that are meant for the gateway only.
-HEADERS_NOT_FORWARDED = {
-    b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"content-length",
-    b"proxy-authenticate", b"proxy-connection", b"usage-percent", b"x-server-load", b"x-not-processed",
-    b"billed-units",
-}  # fmt: skip
-NUMBER = re.compile(rb"\d{1,15}(\.\d{0,15})?")
-
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class Response:
-    """A complete response from a host."""
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-    usage: float | None = None  # metered use of the customer as a fraction of its rate
-    units: float | None = None  # true quota units of the request, if post-paid
-    load_report: tuple[float, ...] = ()  # figures named by `load_report_fields`
-
-
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One request sent to one host, from the decision to send it until its outcome."""
@@ -245,35 +219,24 @@
     def _complete_response(self) -> None:
         if self.has_been_idle:
             self.pool.upstreams.idle_limit.record(self.idle_time, False)
-        status = self.status
-        response = Response(status, [], bytes(self.body))
-        not_processed = False
-        for name, value in self.headers:
-            lower = name.lower()
-            if lower == b"usage-percent":
-                response.usage = parse_usage(value)
-            elif lower == b"billed-units":
-                response.units = parse_units(value)
-            elif lower == b"x-not-processed":
-                not_processed = value.strip() == b"1"
-            elif lower == b"x-server-load":
-                response.load_report = parse_load_report(value, self.pool.upstreams.load_report_fields)
-            elif lower not in HEADERS_NOT_FORWARDED:
-                response.headers.append((name, value))
-        if status == 200 and self.write_pending:
-            # A host begins a request once its last byte has come, so this was made for another one.
-            outcome = Outcome.ERROR
-        elif status == 200 and not self.size.body_exceeded:
-            outcome = Outcome.OK
-        elif status in (503, 504) and not_processed:
-            outcome = Outcome.FULL
-        else:
-            outcome = Outcome.ERROR
+        response = read_response(
+            self.status, self.headers, bytes(self.body), self.pool.upstreams.load_report_fields
+        )
+        outcome = self._outcome(response)
         # If the response came before the request was written in full, the rest of the request is still to be
         # written: the connection cannot be reused.
         keep = self.keep_alive and not self.write_pending
         self._finish(outcome, response, keep)
 
+    def _outcome(self, response: Response) -> Outcome:
+        if response.status == 200:
+            # A host begins a request once its last byte has come: an earlier response was made for another.
+            is_usable = not self.write_pending and not self.size.body_exceeded
+            return Outcome.OK if is_usable else Outcome.ERROR
+        if response.status in (503, 504) and response.not_processed:
+            return Outcome.FULL
+        return Outcome.ERROR
+
     def _finish(self, outcome: Outcome, response: Response | None = None, keep: bool = False) -> None:
         attempt, self.attempt = self.attempt, None
         self.response_complete = False
@@ -305,41 +268,6 @@
             self.pool.upstreams.idle_limit.record(self.idle_time, True)
 
 
-class IdleLimit:
-    """How long a connection may be idle and still be reused, learned from how often reuse breaks.
-
-    Hosts, and devices on the way to them, may close idle connections earlier than announced, in ways that are
-    not seen before the next request is written. The limit is lowered only if the requests lost by reuse after
-    longer idle times cost more than new connections would. A low rate of breaks at all idle times does not
-    lower the limit, as new connections would break as well. All hosts share the limit, since each has too few
-    samples for its own: one that closes earlier than the others goes unnoticed, or costs all of them new
-    connections.
-    """
-
-    def __init__(self, maximum: float) -> None:
-        self.maximum = self.current = maximum
-        # By idle time before reuse: the cost of reusing connections, less that of opening new ones.
-        self.losses = [0.0] * IDLE_TIME_BUCKETS
-
-    def record(self, idle_time: float, broken: bool) -> None:
-        bucket = int(2 * math.log2(max(idle_time, 0.001) / 0.001))
-        self.losses[min(bucket, IDLE_TIME_BUCKETS - 1)] += (1 - CONNECT_COST) if broken else -CONNECT_COST
-        if broken:
-            self._update_limit()
-
-    def decay(self, seconds: float) -> None:
-        self.losses = [loss * 0.5 ** (seconds / LOSS_HALF_LIFE_S) for loss in self.losses]
-        self._update_limit()
-
-    def _update_limit(self) -> None:
-        """Sets the limit to the idle time from which on reuse has lost the most."""
-        total, max_loss, self.current = 0.0, LOSS_THRESHOLD, self.maximum
-        for bucket in range(IDLE_TIME_BUCKETS - 1, -1, -1):
-            total += self.losses[bucket]
-            if total > max_loss:
-                max_loss, self.current = total, min(self.maximum, 0.001 * 2 ** (bucket / 2))
-
-
 class Pool:
     """The connections to one host: idle ones, in order of release, and attempts that wait for one."""
 
@@ -529,30 +457,3 @@
                 pool.idle_connections[0].close()
             if not pool.open_count:
                 del self.pools[instance]  # else pools of hosts that have gone would pile up
-
-
-def parse_usage(value: bytes) -> float | None:
-    """`Usage-Percent`: the customer's metered use in percent of its rate; returned as a fraction.
-
-    The simulator's protocol sends that percentage plus one instead, see `adapter.py`.
-    """
-    if not NUMBER.fullmatch(value):
-        return None
-    usage = float(value) / 100
-    return usage if usage <= MAX_USAGE else None
-
-
-def parse_units(value: bytes) -> float | None:
-    """`Billed-Units`: the true units of a request that was served; only figures above 0 count."""
-    units = float(value) if NUMBER.fullmatch(value) else 0.0
-    return units if units > 0 else None
-
-
-def parse_load_report(value: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
-    """The figures of a load report; implausible ones become NaN, to keep them out of decisions."""
-    try:
-        report = json.loads(value)
-        figures = tuple(float(report.get(name, math.nan)) for name in fields)
-    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError):
-        return ()
-    return tuple(figure if 0 <= figure <= MAX_LOAD else math.nan for figure in figures)
--- a/tests/test_response_ends.py
+++ b/tests/test_response_ends.py
@@ -11,7 +11,7 @@
 from upstream_helpers import Harness, RawHost, harness
 
 from coralvale.interface import Outcome
-from coralvale.net.upstream import Response
+from coralvale.net.response import Response
 
 HEAD = b"HTTP/1.1 200 OK\r\nServer: x\r\n\r\n"
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -15,7 +15,9 @@
 from upstream_helpers import PAYLOAD, RawHost, harness
 
 from coralvale.interface import Outcome
-from coralvale.net.upstream import REUSE_DELAY_S, Attempt, IdleLimit, parse_load_report, parse_usage
+from coralvale.net.idle_limit import IdleLimit
+from coralvale.net.response import parse_load_report, parse_usage
+from coralvale.net.upstream import REUSE_DELAY_S, Attempt
 
 
 @pytest.mark.parametrize(
@@ -429,7 +431,7 @@
             await until(lambda: h.upstreams.open_count == 0)
             assert h.ended.empty()
 
-    monkeypatch.setattr("coralvale.net.upstream.parse_usage", fail)
+    monkeypatch.setattr("coralvale.net.response.parse_usage", fail)
     run(test())
 
 
--- a/tests/upstream_helpers.py
+++ b/tests/upstream_helpers.py
@@ -15,7 +15,8 @@
 
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
-from coralvale.net.upstream import Attempt, Response, Upstreams
+from coralvale.net.response import Response
+from coralvale.net.upstream import Attempt, Upstreams
 from testbed.standins.peer import RESET_ON_CLOSE
 
 PAYLOAD = b"GET /api HTTP/1.1\r\nX-Request-ID: r1\r\n\r\n"
