Record how long the soak's gateways waited for a processor, and keep their exit codes

The checker extends limits by lag of the test's event loop, which wasn't late; the system had given the gateway's process no processor. Process.send_signal first reaps a process that has ended, and asyncio then can't read its exit code.

Bounds are the same.

--- a/testbed/soak/gateways.py
+++ b/testbed/soak/gateways.py
@@ -117,8 +117,19 @@
             self.is_stopping = True
         if name != "SIGHUP":
             self.is_ready = False
+        # Not by the process object: it first reaps a process that has ended, and its exit code is lost.
         with contextlib.suppress(ProcessLookupError):
-            self.process.send_signal(getattr(signal, name))
+            os.kill(self.process.pid, getattr(signal, name))
+
+    def time_waited_for_cpu(self) -> float:
+        """Seconds for which the process was ready to run while no processor took it; 0 if it has ended."""
+        if self.process is None:
+            return 0.0
+        try:
+            _, waited_ns, _ = Path(f"/proc/{self.process.pid}/schedstat").read_text().split()
+        except (OSError, ValueError):
+            return 0.0
+        return int(waited_ns) / 1e9
 
     def _shell_has_execed(self) -> bool:
         """Whether the shell has replaced itself by the gateway; before, it may not ignore SIGHUP yet."""
--- a/testbed/soak/run.py
+++ b/testbed/soak/run.py
@@ -193,13 +193,27 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _record_lag(self) -> None:
-        """Records when the event loop was late: what it saw then may have happened earlier."""
+        """Records when the event loop was late, as what it saw then may have happened earlier.
+
+        Also when a gateway was kept waiting for a processor, as on a busy machine.
+        """
+        waited = dict[int, float]()  # for a processor, by process id
         while True:
             begin = time.monotonic()
             await asyncio.sleep(POLL_INTERVAL_S)
-            late = time.monotonic() - begin - POLL_INTERVAL_S
-            if late > MIN_RECORDED_LAG_S:
-                self.add_entry(r.Delayed(begin, -1, time.monotonic()))
+            now = time.monotonic()
+            if now - begin - POLL_INTERVAL_S > MIN_RECORDED_LAG_S:
+                self.add_entry(r.Delayed(begin, -1, now))
+            for gateway in self.gateways:
+                if gateway.process is None:
+                    continue
+                before, waited[gateway.process.pid] = (
+                    waited.get(gateway.process.pid, 0.0),
+                    gateway.time_waited_for_cpu(),
+                )
+                lag = waited[gateway.process.pid] - before
+                if lag > MIN_RECORDED_LAG_S:  # the system adds a wait once it is over
+                    self.add_entry(r.Delayed(begin - lag, gateway.index, now))
 
     # Callbacks of the stand-ins
 
