Acknowledge a host's data once the client has its answer

Cause: TCP_QUICKACK sends its segment within the call, and that came ahead of the answer.

Change: it is set at the end of data_received, after the answer.

--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -129,13 +129,13 @@
         if self.attempt is None:  # no request is outstanding
             self.close()
             return
-        self._acknowledge()
         try:
             self._parse(data)
         except Exception:
             # Any failure to read a response ends its attempt, exactly once, and closes the connection.
             log.exception("cannot read the response of a host")
             self._finish(Outcome.ERROR)
+        self._acknowledge()  # once the client has its answer
 
     def _acknowledge(self) -> None:
         """Has the system acknowledge what was read at once rather than up to 40 ms later.
@@ -143,7 +143,8 @@
         A host without TCP_NODELAY holds a small write back until then: the rest of a response, or a stray
         second one, which would come after `REUSE_DELAY_S` and be taken for the response to the next request.
         """
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+        if self.transport and not self.transport.is_closing():
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
 
     def _parse(self, data: bytes) -> None:
         self.size.add_received(data)
