Look at the attempt's outcome again in the test of host and client before a write

Change: events are recorded as they reach the module, and both assertions stand again beside the new ones.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -177,6 +177,13 @@
         host = await FakeServer(http_response()).start()
         known = host_entry("s-1", host.port)
         async with running_gateway(known, real_module=True) as w:
+            events, handle = list[api.Event](), w.node.gateway.handle
+
+            def record(now: float, event: api.Event) -> list[api.Action]:
+                events.append(event)
+                return handle(now, event)
+
+            w.node.gateway.handle = record  # type: ignore[method-assign]
             watch = await w.registry.watch()
             started, go = hold_connects(w.node.upstreams)
             client = await w.client()
@@ -199,7 +206,11 @@
             if change != "client":
                 assert (await client.receive()).status == (200 if change == "none" else 503)
             await until(lambda: not w.node.pending)
-            assert host.requests.qsize() == (1 if change == "none" else 0)
+            (done,) = [event for event in events if isinstance(event, api.AttemptDone)]
+            if change == "none":
+                assert done.outcome is Outcome.OK and host.requests.qsize() == 1
+            else:
+                assert done.outcome is Outcome.NOT_SENT and host.requests.empty()
         host.stop()
 
     run(test())
