--- /dev/null
+++ b/testbed/hostile/__init__.py
@@ -0,0 +1,1 @@
+"""Clients that press on one gateway: stalled uploads, floods on one connection, answers that are not read."""
--- a/testbed/standins/hosts.py
+++ b/testbed/standins/hosts.py
@@ -54,6 +54,7 @@
         self.name, self.service_time, self.on_arrival, self.on_end = name, service_time, on_arrival, on_end
         self.mode = HostMode.SERVES
         self.started_at = 0.0  # Unix time of its last start; 0: long ago
+        self.response_bytes = 0  # to which the body of a response, the request's id, is filled up
         self.port = free_port()
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -104,7 +105,7 @@
                 writer.write(http_response(503, b"", X_Not_Processed="1"))
                 return True
             await asyncio.sleep(self.service_time())
-            writer.write(http_response(200, arrival.request_id.encode()))
+            writer.write(http_response(200, arrival.request_id.encode().ljust(self.response_bytes)))
             return True
         finally:
             self.on_end(self, arrival, never_ran)
