Let a new host take the place of the listed one at its address

Cause: Discovery.apply merged entries by name alone; nothing noticed that two names had one address, so the ended process stayed listed, with its idle connections, until a list said otherwise. Excluded: the pools, which are kept by name, start and address, and the check before the write, which compares the entry but found the old one still listed.

Change: HostTable keeps at an address only the hosts that started last; the others count as gone and are reported so. It holds as the address belongs to one process, and a start time orders the processes. Two entries with the same start cannot be told apart and stay.

--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -9,7 +9,7 @@
 import random
 import re
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import httptools
@@ -63,6 +63,48 @@
         return self.host.state is api.HostState.DRAINING
 
 
+class HostTable:
+    """Listed hosts by name; those at one address have all started at the same time.
+
+    A process has its address for itself: when a host is listed at the address of one that started earlier,
+    the process of that one has ended, even if discovery has not reported it yet. What is sent there reaches
+    the new process. Hosts with the same address and start cannot be told apart and stay listed.
+    """
+
+    def __init__(self) -> None:
+        self.endpoints: dict[str, Endpoint] = {}
+        self._names: dict[Address, tuple[str, ...]] = {}  # immutable, so that a copy may share them
+
+    def copy(self) -> HostTable:
+        """A table with the same hosts, which changes independently."""
+        table = HostTable()
+        table.endpoints, table._names = dict(self.endpoints), dict(self._names)
+        return table
+
+    def remove(self, name: str) -> None:
+        """Removes a host if it is listed."""
+        if endpoint := self.endpoints.pop(name, None):
+            others = tuple(other for other in self._names.pop(endpoint.address) if other != name)
+            if others:
+                self._names[endpoint.address] = others
+
+    def place(self, endpoint: Endpoint) -> list[Endpoint]:
+        """Lists a host; returns those at its address that have gone: all but the ones started last.
+
+        That may be the host itself, if what is reported of it is older than another one's start.
+        """
+        self.remove(endpoint.host.id)
+        others = [self.endpoints[name] for name in self._names.get(endpoint.address, ())]
+        if any(other.host.started_at > endpoint.host.started_at for other in others):
+            return [endpoint]
+        gone = [other for other in others if other.host.started_at < endpoint.host.started_at]
+        for other in gone:
+            self.remove(other.host.id)
+        self.endpoints[endpoint.host.id] = endpoint
+        self._names[endpoint.address] = (*self._names.get(endpoint.address, ()), endpoint.host.id)
+        return gone
+
+
 class Discovery:
     """Follows the host list of the discovery agent that this gateway calls.
 
@@ -121,7 +163,7 @@
         )
         self.zones = {name: i for i, name in enumerate(zones)}
         self.machine_types = {name: i for i, name in enumerate(machine_types)}
-        self.endpoints: dict[str, Endpoint] = {}
+        self.table = HostTable()
         self.index: int | None = None
         self.random = random.Random()
         self.watch: Watch | None = None
@@ -130,6 +172,11 @@
         self.moved = asyncio.Event()  # set when the address has changed, to end all waiting
         self.on_response: Callable[[], None] | None = None  # called at each response head
 
+    @property
+    def endpoints(self) -> dict[str, Endpoint]:
+        """The listed hosts by name."""
+        return self.table.endpoints
+
     def apply(self, message: dict[str, Any], cached: bool = False) -> None:
         """Merges one message into the list.
 
@@ -140,7 +187,7 @@
             raise ValueError("endpoints: not a list")
         full = bool(message.get("snapshot")) or cached
         changed: list[api.HostInfo] = []
-        before, listed = self.endpoints, {} if full else dict(self.endpoints)
+        before, table = self.endpoints, HostTable() if full else self.table.copy()
         for entry in entries:
             try:
                 endpoint = self._read_entry(entry)
@@ -150,16 +197,20 @@
                 if not (full and known):
                     continue
                 endpoint = known  # one invalid field must not remove a host
-            name = endpoint.host.id
             changed.append(endpoint.host)
             if endpoint.host.state is api.HostState.GONE:
-                listed.pop(name, None)
+                table.remove(endpoint.host.id)
                 continue
-            listed[name] = endpoint
-        self.endpoints = listed
+            for gone in table.place(endpoint):
+                log.info("discovery: %s is gone, another host has its address", gone.host.id)
+                changed.append(replace(gone.host, state=api.HostState.GONE))
+        self.table = table
         # A host that drains, is gone, has restarted or moved: its idle connections are of no more use.
+        names = before if full else dict.fromkeys(host.id for host in changed if host.id in before)
         retired = [
-            old.host_instance for name, old in before.items() if self._is_retired(old, listed.get(name))
+            before[name].host_instance
+            for name in names
+            if self._is_retired(before[name], table.endpoints.get(name))
         ]
         # Without a valid index the next watch starts with the full list.
         self.index = index if type(index) is int and index >= 0 else None
