Refuse an id that may have run and comes again after its client has left

Cause: Node._remove_if_done forgets a request once its client is gone and its attempts have ended, so the check for an id in use no longer finds it. Excluded: attempts still out (the id is in use then, and was refused before), and classes that are safe to repeat.

Change: the ids of requests that may have run, but for safe classes, are remembered for 30 to 60 s and answered 400. Their number is bounded by the memory limit, which the configuration now reads (limits.memory_mb; a wrong one is a ConfigError that names it, 192 if it is left out).

--- a/coralvale/net/config.py
+++ b/coralvale/net/config.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import json
+import math
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -19,6 +20,7 @@
 MAX_PORT = 65535
 MIN_SOCKETS = 64  # file descriptors that a gateway needs in order to serve
 DEFAULT_SOCKETS = 1024  # file descriptors
+DEFAULT_MEMORY_MB = 192.0
 DEFAULT_CONNECT_TIMEOUT_S = 0.25
 DEFAULT_CONN_IDLE_S = 15.0
 DEFAULT_MOST_HELD = 20_000  # requests
@@ -38,6 +40,7 @@
     counter: Address | None  # None: there is no shared counter
     seed: int  # of the decision module's random numbers
     sockets: int  # file descriptors that the gateway may use
+    memory_mb: float  # MiB of memory that the process may use
     known_hosts: dict[str, Any]  # host list to start with, in the form of discovery's messages
     settings: api.Settings
     zones: tuple[str, ...]  # names, in the order of the zone numbers
@@ -99,9 +102,17 @@
         raise ConfigError(f"{path}: {message}") from None
 
 
+def read_limit(limits: dict[str, Any], name: str, default: float) -> float:
+    """A limit of the process, a number above 0; raises ValueError that names it."""
+    value = limits.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        raise ValueError(f"limits.{name}: {value!r} is not a number above 0")
+    return float(value)
+
+
 def parse_config(data: dict[str, Any]) -> Config:
     settings = data["settings"]
-    fields = flatten(settings)
+    fields, limits = flatten(settings), data.get("limits", {})
 
     def read_names(key: str) -> tuple[str, ...]:
         value = settings.get(key, [])  # in `fields`, a name that contains a comma would become two
@@ -113,7 +124,8 @@
         discovery=read_address(data["discovery"]),
         counter=read_address(data["counter"]) if data.get("counter") else None,
         seed=int(str(data["seed"]), 16),
-        sockets=int(data.get("limits", {}).get("sockets", DEFAULT_SOCKETS)),
+        sockets=int(limits.get("sockets", DEFAULT_SOCKETS)),
+        memory_mb=read_limit(limits, "memory_mb", DEFAULT_MEMORY_MB),
         known_hosts=data.get("known") or {},
         settings=read_settings(fields),
         zones=read_names("zones"),
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -24,6 +24,7 @@
 from coralvale.net.counter import CounterClient
 from coralvale.net.discovery import Discovery, Endpoint
 from coralvale.net.request import ParsedRequest
+from coralvale.net.request_ids import RecentIds
 from coralvale.net.response import Response
 from coralvale.net.server import HEADERS_NOT_FORWARDED, Exchange, Server
 from coralvale.net.upstream import Attempt, Upstreams
@@ -47,6 +48,8 @@
 DRAIN_POLL_S = 0.05  # between checks whether the drain is complete
 MAX_EXTRA_POLLS = 4  # after FLUSH_S, if responses are not yet sent; both together stay within KILL_MARGIN_S
 DEFAULT_TIMER_DELAY_S = 1.0  # for setting a timer again whose delay is not known
+RECENT_ID_PERIOD_S = 30.0  # for which the id of a request that may have run is not accepted again
+RECENT_IDS_PER_MB = 64  # of the memory limit, each id takes 100 to 250 bytes
 RESERVED_DESCRIPTORS = 64  # for the listener, discovery, the counter, log files and the event loop
 
 
@@ -92,6 +95,8 @@
         self.loop = asyncio.get_running_loop()
         self.gateway = Gateway(config.settings, config.seed)
         self.pending: dict[str, PendingRequest] = {}
+        # Of requests that may have run and must not run twice: a client that has left may send its id again.
+        self.recent_ids = RecentIds(RECENT_ID_PERIOD_S, round(config.memory_mb * RECENT_IDS_PER_MB))
         self.ready = False
         self.drain_deadline: float | None = None  # set by SIGTERM: when all requests must be answered
         self.listener_closed = False
@@ -219,15 +224,16 @@
         """Answers a request without a decision: 503 only if trying again does no harm, else 502 or 504."""
         if pending is None or pending.answered:
             return
-        if (
-            pending.may_have_run
-            and self.settings.classes[pending.request.class_index].idempotency is not api.Idempotency.SAFE
-        ):
+        if pending.may_have_run and not self._is_safe(pending.request):
             self._reply(pending, 504 if pending.last_timed_out else 502)
         else:
             self._reply(pending, 503, retry_after=self.settings.retry_after_limit)
         self.dispatch(api.RequestAbandoned(pending.request.id))
 
+    def _is_safe(self, request: ParsedRequest) -> bool:
+        """Whether the request's class may run any number of times."""
+        return self.settings.classes[request.class_index].idempotency is api.Idempotency.SAFE
+
     def _reply(self, pending: PendingRequest, status: int, **response: Any) -> None:  # noqa: ANN401
         if not pending.answered:
             pending.answered = True
@@ -239,6 +245,8 @@
             if pending.timer:
                 pending.timer.cancel()
             self.pending.pop(pending.request.id, None)
+            if pending.may_have_run and not self._is_safe(pending.request):
+                self.recent_ids.add(self.clock.now(), pending.request.id)
             # Breaks the reference cycle, to be freed without garbage collection.
             pending.exchange.pending_request = None
             pending.attempts.clear()
@@ -248,7 +256,8 @@
     # Clients
 
     def handle_request(self, exchange: Exchange, request: ParsedRequest) -> None:
-        if request.id in self.pending:  # two requests with the same id could not be told apart
+        # Two requests with the same id could not be told apart, and one that has run must not run again.
+        if request.id in self.pending or request.id in self.recent_ids:
             exchange.reject(400, b"x-request-id: in use\n")
             return
         if len(self.pending) >= self.config.most_held:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -116,6 +116,11 @@
         ({"settings": settings(ceilings={"send_cap": "many"})}, "send_cap"),
         ({"settings": settings(ceilings={"conn_idle_s": 0.0})}, "conn_idle"),
         ({"limits": {"sockets": 3}}, "sockets"),
+        ({"limits": {"memory_mb": 0}}, "limits.memory_mb"),
+        ({"limits": {"memory_mb": -32}}, "limits.memory_mb"),
+        ({"limits": {"memory_mb": "much"}}, "limits.memory_mb"),
+        ({"limits": {"memory_mb": True}}, "limits.memory_mb"),
+        ({"limits": {"memory_mb": float("nan")}}, "limits.memory_mb"),
     ],
 )
 def test_the_error_names_an_invalid_setting(tmp_path: Path, changes: dict[str, Any], named: str) -> None:
