--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -9,6 +9,7 @@
 
 from testbed.hostile.clients import Kind
 from testbed.hostile.scene import LARGE_RESPONSE_BYTES, Scene
+from testbed.soak.__main__ import build
 
 # The least memory and the most descriptors that the deployment page names.
 MEMORY_MB, DESCRIPTORS = 32, 1024
@@ -17,6 +18,11 @@
 MIN_SERVED_SHARE = 0.5  # of the usual requests, as the standing test asks
 
 
+@pytest.fixture(scope="module", autouse=True)
+def built() -> None:
+    build()
+
+
 def play(
     folder: Path, kind: Kind, connections: int, memory_mb: int = MEMORY_MB, response_bytes: int = 0
 ) -> Scene:
