Move the client connection into a module of its own; give a test's second request its own id

ManualClock replaces the clock of both modules.

tests/test_message_limits.py sent two requests of an unsafe class with one id, which is refused since the ids of requests that may have run are remembered; the second has an id of its own now, and the test checks that both reach the decision module.

--- /dev/null
+++ b/coralvale/net/client_connection.py
@@ -0,0 +1,339 @@
+"""One client connection: reading requests and writing their responses."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+import httptools
+
+from coralvale.net.message_size import MessageSize, is_body_too_large
+
+if TYPE_CHECKING:
+    from coralvale.net.server import Server
+
+MAX_OVERHEAD_BYTES = 16 * 1024  # of a request besides its body, such as its request line and headers
+PARSED_AT_ONCE_BYTES = 16 * 1024  # so that little goes uncounted of a request that begins behind another
+MAX_PIPELINED_REQUESTS = 16  # unanswered requests on a connection at which reading from it pauses
+
+REASON_PHRASES = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+STATUS_LINES = {
+    status: f"HTTP/1.1 {status} {reason}\r\n".encode() for status, reason in REASON_PHRASES.items()
+}
+CLOSING_HEAD_END = b"Connection: close\r\n\r\n"  # ends the head of the last response on a connection
+# Request headers that apply to one connection only, or that are written anew for the host.
+HEADERS_NOT_FORWARDED = {
+    b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"content-length",
+    b"proxy-authorization", b"proxy-connection", b"expect", b"x-timeout",
+}  # fmt: skip
+
+
+class Exchange:
+    """One request on a connection and the response to it."""
+
+    __slots__ = (
+        "body", "close_after", "connection", "header_values", "headers", "method", "pending_request",
+        "response_body", "response_head", "target",
+    )  # fmt: skip
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self.connection = connection
+        self.method = self.target = self.body = b""
+        self.headers: list[tuple[bytes, bytes]] = []  # as received
+        self.header_values: dict[bytes, bytes] = {}  # by name in lower case, see `on_header`
+        self.response_head: bytes | None = None  # without the end, which `flush` adds
+        self.response_body = b""
+        self.close_after = False  # whether the connection closes after the response
+        self.pending_request: Any = None  # the node's state for this request
+
+    def reply(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: list[tuple[bytes, bytes]] | None = None,
+        retry_after: float = 0.0,
+    ) -> None:
+        """Sets the response and writes it in its turn; does nothing if there is a response already."""
+        if self.response_head is not None:
+            return
+        parts = [STATUS_LINES[status], b"Content-Length: %d\r\n" % len(body)]
+        if headers:
+            parts += [b"%b: %b\r\n" % header for header in headers]
+        elif body:
+            parts.append(b"Content-Type: text/plain\r\n")
+        if retry_after > 0:
+            parts.append(b"Retry-After: %.3f\r\n" % retry_after)
+        self.response_head, self.response_body = b"".join(parts), body if self.method != b"HEAD" else b""
+        self.connection.flush()
+
+    def reject(self, status: int, body: bytes = b"") -> None:
+        """Answers an invalid request and closes the connection, as later requests may be no better."""
+        self.close_after = True
+        self.reply(status, body)
+
+
+def has_event(descriptor: int, event: int = select.POLLIN) -> bool:
+    """Whether the kernel has an event for a descriptor, even if the loop has not reported it yet."""
+    poll = select.poll()
+    poll.register(descriptor, event)
+    return bool(poll.poll(0))
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client connection. Responses are written in the order of the requests."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.exchanges: deque[Exchange] = deque()  # received in full, response not yet written
+        self.incoming: Exchange | None = None  # being received
+        self.completed: list[Exchange] = []  # received in full, not yet dispatched
+        self.last_active_at = self.opened_at = time.monotonic()
+        self.request_started_at = 0.0
+        self.has_sent_request = False  # whether a request has been received in full
+        self.size = MessageSize(MAX_OVERHEAD_BYTES)  # since the last complete request
+        self.head_complete = False  # of the incoming request
+        self.body = bytearray()  # of the incoming request
+        self.error_status = 0  # status of the error response that ends this connection
+        self.reading_paused = self.closing = False  # closing: nothing more is read or answered
+        self.write_blocked_since: float | None = None  # since when the write buffer has been full
+        self.is_overflow = False  # accepted beyond `max_connections`: /api is answered 503, then it closes
+        self.backlog_wait = 0.0  # maximum s that it may have waited in the kernel, with its first request
+
+    def connection_made(self, transport: Any) -> None:  # noqa: ANN401
+        self.transport = transport
+        self.parser = httptools.HttpRequestParser(self)
+        self.register_if_idle()
+
+    # Reading
+
+    def data_received(self, data: bytes) -> None:
+        if self.error_status or self.closing:
+            return  # behind a malformed request it is unknown where the next one begins
+        for start in range(0, len(data), PARSED_AT_ONCE_BYTES):
+            self._parse(data[start : start + PARSED_AT_ONCE_BYTES])
+            if self.error_status:
+                break
+        completed, self.completed = self.completed, []
+        for exchange in completed:
+            if self.closing:  # an earlier response was the connection's last
+                break
+            self.server.dispatch(exchange)
+        if self.error_status:
+            self._reply_error()
+        self._update_reading()
+        self.register_if_idle()
+
+    def _parse(self, data: bytes) -> None:
+        self.size.add_received(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.error_status = self.error_status or 400
+        if self.size.overhead_exceeded:  # an endless line is never reported by the parser
+            self.error_status = self.error_status or 400
+
+    def _update_reading(self) -> None:
+        """Pauses reading while requests or responses pile up or the connection ends; else resumes it."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        full = len(self.exchanges) >= MAX_PIPELINED_REQUESTS or self.write_blocked_since is not None
+        if (full or self.error_status or self.closing) and not self.reading_paused:
+            self.reading_paused = True
+            self.transport.pause_reading()
+        elif self.reading_paused and not (full or self.error_status or self.closing):
+            self.reading_paused = False
+            self.transport.resume_reading()
+
+    def _reply_error(self) -> None:
+        """Adds the error response as the last one and reads no more: 60 MB of body may still follow."""
+        exchange = Exchange(self)
+        exchange.close_after = True
+        self.exchanges.append(exchange)
+        exchange.reply(self.error_status)
+
+    def register_if_idle(self) -> None:
+        """Adds the connection, if idle, to the end of the list from whose front the server evicts."""
+        if self.is_idle():
+            self.server.idle_connections[self] = None
+
+    def time_out_request(self) -> None:
+        """Answers 408 to a request not fully received; the caller checks that no earlier response is due."""
+        self.error_status = 408
+        self.incoming = None
+        self._reply_error()
+        self._update_reading()
+
+    def on_message_begin(self) -> None:
+        self.incoming = Exchange(self)
+        # Not with each read: empty lines, which begin no request, must not keep a connection open.
+        self.last_active_at = self.request_started_at = time.monotonic()
+        self.server.idle_connections.pop(self, None)
+        self.head_complete = False
+
+    def on_url(self, url: bytes) -> None:
+        assert self.incoming is not None
+        self.incoming.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        exchange, lower = self.incoming, name.lower()
+        assert exchange is not None
+        self.size.add_field(name, value)
+        if self.head_complete:  # trailer fields are not kept
+            return
+        if lower in exchange.header_values and lower in self.server.single_value_headers:
+            exchange.header_values[lower] = b""  # repeated: neither value is used
+        else:
+            exchange.header_values[lower] = value
+        exchange.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        exchange = self.incoming
+        assert exchange is not None
+        exchange.method = self.parser.get_method()
+        self.head_complete = True
+        length = exchange.header_values.get(b"content-length", b"0")
+        if b"transfer-encoding" in exchange.header_values:
+            # Together with a length it allows request smuggling: a second request hidden in a body.
+            if (
+                b"content-length" in exchange.header_values
+                or exchange.header_values[b"transfer-encoding"] != b"chunked"
+            ):
+                self.error_status = 400
+        elif not length.isdigit():  # signed, a list, or repeated
+            self.error_status = 400
+        elif is_body_too_large(length):
+            self.error_status = 413
+        if self.error_status:
+            raise ValueError("invalid or excessive body length")  # stops the parser before the body
+        if exchange.header_values.get(b"expect", b"").lower() == b"100-continue" and not self.exchanges:
+            assert self.transport is not None
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        assert self.incoming is not None
+        self.size.add_body(body)
+        if self.size.body_exceeded:
+            self.error_status = 413
+        else:
+            self.body += body
+
+    def on_message_complete(self) -> None:
+        exchange, self.incoming = self.incoming, None
+        self.size.reset()
+        body = bytes(self.body)
+        self.body.clear()
+        if exchange is None or self.error_status:
+            return
+        exchange.body = body
+        self.has_sent_request = True
+        exchange.close_after = not self.parser.should_keep_alive()
+        self.exchanges.append(exchange)
+        self.completed.append(exchange)
+
+    # Writing
+
+    def flush(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        while self.exchanges and (response_head := self.exchanges[0].response_head) is not None:
+            exchange = self.exchanges.popleft()
+            last = exchange.close_after or self._drain_complete()
+            self.transport.write(
+                response_head + (CLOSING_HEAD_END if last else b"\r\n") + exchange.response_body
+            )
+            self.last_active_at = time.monotonic()
+            if last:
+                self.close_when_written()
+                return
+        self._update_reading()
+        self.register_if_idle()
+
+    def _drain_complete(self) -> bool:
+        """Whether the server is draining and no further request has arrived on this connection."""
+        return self.server.draining and not (self.exchanges or self.incoming or self.has_unread_data())
+
+    def close_when_written(self) -> None:
+        """Closes the connection once its last response is sent; later requests on it are not answered."""
+        assert self.transport is not None
+        self.closing = True
+        self.server.idle_connections.pop(self, None)
+        more_incoming = self.error_status or self.incoming or self.exchanges or self.has_unread_data()
+        self._abandon_requests()
+        if more_incoming:
+            # Closing while data is still coming in would reset the connection and lose the response.
+            self._update_reading()
+            self.transport.write_eof()
+            self.server.linger(self)
+        else:
+            self.transport.close()
+
+    def has_unread_data(self) -> bool:
+        """Whether the kernel holds data from the client, or its end, that the loop has not reported yet."""
+        assert self.transport is not None
+        return has_event(self.transport.get_extra_info("socket").fileno())
+
+    def is_disconnected(self) -> bool:
+        """Whether the client has disconnected, even if the loop has not read as far as that yet."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        return has_event(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+
+    def pause_writing(self) -> None:
+        self.write_blocked_since = time.monotonic()
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        self.write_blocked_since = None
+        self._update_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.server.remove(self)
+        self._abandon_requests()
+
+    def _abandon_requests(self) -> None:
+        """Tells the handler that the client no longer waits for the unanswered requests, and drops them."""
+        for exchange in self.exchanges:
+            if exchange.response_head is None:
+                exchange.response_head = b""  # so that a later reply is ignored
+                self.server.handler.client_disconnected(exchange)
+        self.exchanges.clear()
+
+    def is_idle(self) -> bool:
+        return (
+            not (self.exchanges or self.incoming or self.closing or self.error_status)
+            and self.transport is not None
+        )
+
+    def has_pending_response(self) -> bool:
+        """Whether a request is unanswered or may be unread, or a response is not written in full."""
+        if self.transport is None:  # accepted, not yet attached to the loop
+            return True
+        if self.transport.get_write_buffer_size():
+            return True
+        if self.closing or self.transport.is_closing():
+            return False
+        return bool(self.exchanges) or self.has_unread_data()
+
+    def close_if_idle(self) -> bool:
+        """Closes an idle connection unless data has arrived on it, unread; returns whether it did."""
+        if not self.is_idle() or self.has_unread_data():
+            return False
+        assert self.transport is not None
+        self.closing = True
+        self.server.idle_connections.pop(self, None)
+        self.transport.close()
+        return True
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -19,6 +19,7 @@
 from coralvale import Gateway
 from coralvale import interface as api
 from coralvale.interface import NOT_RUN, Outcome
+from coralvale.net.client_connection import HEADERS_NOT_FORWARDED, Exchange
 from coralvale.net.clock import TIMER_RESOLUTION_S, Clock
 from coralvale.net.config import Address, Config, HostInstance
 from coralvale.net.counter import CounterClient
@@ -26,7 +27,7 @@
 from coralvale.net.request import ParsedRequest
 from coralvale.net.request_ids import RecentIds
 from coralvale.net.response import Response
-from coralvale.net.server import HEADERS_NOT_FORWARDED, Exchange, Server
+from coralvale.net.server import Server
 from coralvale.net.upstream import Attempt, Upstreams
 
 log = logging.getLogger(__name__)
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import pytest
 import uvloop
 
 from coralvale import interface as api
@@ -103,11 +104,16 @@
 
 
 class ManualClock:
-    """Replaces the module `time` in a module under test; only the test moves the time."""
+    """Replaces the module `time` in the modules of client connections; only the test moves the time."""
 
     def __init__(self) -> None:
         self.now = 1000.0
 
+    def install(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Makes accepted connections, and the server that accepts them, use this clock."""
+        for module in ("server", "client_connection"):
+            monkeypatch.setattr(f"coralvale.net.{module}.time", self)
+
     def monotonic(self) -> float:
         return self.now
 
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -209,8 +209,9 @@
         async with running_gateway(host_entry("s-1", host.port)) as w:
             w.script.on(api.Request, lambda e: [api.Send(e.id, "s-1", 0.0)])
             client = await w.client()
-            for _ in range(2):  # the second on the same connection
-                assert (await client.ask(data)).status == 200
+            for request_id in (b"r1", b"r2"):  # the second on the same connection
+                assert (await client.ask(data.replace(b": r1\r\n", b": %b\r\n" % request_id))).status == 200
+                assert w.script.received(api.Request)[-1].id == request_id.decode()
                 message = (await host.next_request()).message
                 assert message.body == body and b"other" not in message.headers
         host.stop()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -35,9 +35,10 @@
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
+from coralvale.net.client_connection import MAX_PIPELINED_REQUESTS, Exchange
 from coralvale.net.clock import Clock
 from coralvale.net.node import FLUSH_S, KILL_MARGIN_S, PendingRequest
-from coralvale.net.server import MAX_PIPELINED_REQUESTS, NEW_CONNECTION_GRACE_S, Exchange
+from coralvale.net.server import NEW_CONNECTION_GRACE_S
 from coralvale.net.upstream import REUSE_DELAY_S, Attempt
 
 
@@ -542,7 +543,7 @@
         host.stop()
 
     clock = ManualClock()
-    monkeypatch.setattr("coralvale.net.server.time", clock)
+    clock.install(monkeypatch)
     run(test())
 
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -311,7 +311,7 @@
             assert len(w.script.received(api.Request)) == 2
 
     clock = ManualClock()
-    monkeypatch.setattr("coralvale.net.server.time", clock)
+    clock.install(monkeypatch)
     for name in ("SWEEP_INTERVAL_S", "LINGER_S"):
         monkeypatch.setattr(f"coralvale.net.server.{name}", 0.01)
     run(test())
@@ -334,7 +334,7 @@
             assert await client.closed_by_gateway()
 
     clock = ManualClock()
-    monkeypatch.setattr("coralvale.net.server.time", clock)
+    clock.install(monkeypatch)
     monkeypatch.setattr("coralvale.net.server.SWEEP_INTERVAL_S", 0.01)
     run(test())
 
