Parse what clients send in turns, so that one connection cannot hold up all others

Cause: uvloop hands over up to 256 KB of a socket at once, 32 times in one turn of the loop, and data_received parsed and dispatched all of it: some 13,000 requests of 20 bytes for each. Reading paused at 16 unanswered requests, which requests that are answered at once never reach. Excluded: the costs of a single request (unsound ones and unknown paths, which end their connection, did no harm) and the hosts.

Change: a connection reads 16 KB at a time into a buffer of the server. Reading goes on while 16 requests are unanswered, as only it shows that the client has left. It holds since a connection's share no longer depends on how much it sends: a usual request waits for one turn of each other connection.

Two tests changed, as a read is 16 KB now: the one of a request that does not end behind another feeds reads of that size and also holds their sum against the new limit; the one of a client that leaves while its connection is not read first fills what is read ahead, as 16 requests alone do not pause reading.

--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -16,8 +16,10 @@
     from coralvale.net.server import Server
 
 MAX_OVERHEAD_BYTES = 16 * 1024  # of a request besides its body, such as its request line and headers
-PARSED_AT_ONCE_BYTES = 16 * 1024  # so that little goes uncounted of a request that begins behind another
-MAX_PIPELINED_REQUESTS = 16  # unanswered requests on a connection at which reading from it pauses
+READ_SIZE_BYTES = 16 * 1024  # read from a socket at once; also the most that is parsed at once, of a body
+TURN_BYTES = 2 * 1024  # parsed in one turn, but for the rest of a body: some ten requests
+READ_AHEAD_BYTES = 64 * 1024  # received and not yet parsed at which reading from a connection pauses
+MAX_PIPELINED_REQUESTS = 16  # unanswered requests on a connection at which parsing pauses
 
 REASON_PHRASES = {
     200: "OK",
@@ -92,8 +94,13 @@
     return bool(poll.poll(0))
 
 
-class ClientConnection(asyncio.Protocol):
-    """One client connection. Responses are written in the order of the requests."""
+class ClientConnection(asyncio.BufferedProtocol):
+    """One client connection. Responses are written in the order of the requests.
+
+    What is received and cannot be parsed at once waits in `unparsed`. A connection that has much of it takes
+    turns with others (see `TurnQueue`). Reading goes on meanwhile, as only it shows that the client has left,
+    until `READ_AHEAD_BYTES` wait.
+    """
 
     def __init__(self, server: Server) -> None:
         self.server = server
@@ -105,7 +112,13 @@
         self.request_started_at = 0.0
         self.has_sent_request = False  # whether a request has been received in full
         self.size = MessageSize(MAX_OVERHEAD_BYTES)  # since the last complete request
+        self.unparsed = bytearray()  # received, not yet parsed
+        self.unparsed_since = 0.0  # when the first of it was received, valid if there is any
+        # Whether so much was received that reading has paused. Until all of it is parsed and nothing more is
+        # in the kernel, the client's end may lie unseen behind it.
+        self.is_behind = False
         self.head_complete = False  # of the incoming request
+        self.body_remaining = 0  # bytes of its body still to come, if its length is stated
         self.body = bytearray()  # of the incoming request
         self.error_status = 0  # status of the error response that ends this connection
         self.reading_paused = self.closing = False  # closing: nothing more is read or answered
@@ -120,13 +133,47 @@
 
     # Reading
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self.error_status or self.closing:
             return  # behind a malformed request it is unknown where the next one begins
-        for start in range(0, len(data), PARSED_AT_ONCE_BYTES):
-            self._parse(data[start : start + PARSED_AT_ONCE_BYTES])
-            if self.error_status:
-                break
+        data = bytes(self.server.read_buffer[:nbytes])
+        if not self.server.turns and not self.unparsed and nbytes <= self._turn_size() and self._may_parse():
+            self._process(data)
+            return
+        if not self.unparsed:
+            self.unparsed_since = time.monotonic()
+            self.server.idle_connections.pop(self, None)
+        self.unparsed += data
+        self._update_reading()
+        if self._may_parse():
+            self.server.turns.add(self)
+
+    def take_turn(self) -> bool:
+        """Parses and dispatches a part of what waits; returns whether it can go on with more."""
+        if not (self.unparsed and self._may_parse()):
+            return False
+        size = self._turn_size()
+        data = bytes(self.unparsed[:size])
+        del self.unparsed[:size]
+        self._process(data)
+        return bool(self.unparsed) and self._may_parse()
+
+    def _turn_size(self) -> int:
+        """Bytes to parse in one turn: no request can begin ahead of the end of a body."""
+        return min(READ_SIZE_BYTES, max(TURN_BYTES, self.body_remaining))
+
+    def _may_parse(self) -> bool:
+        """Whether further requests may be taken from what is received."""
+        if self.error_status or self.closing or self.transport is None or self.transport.is_closing():
+            return False
+        return len(self.exchanges) < MAX_PIPELINED_REQUESTS and self.write_blocked_since is None
+
+    def _process(self, data: bytes) -> None:
+        """Parses data and dispatches the requests that end in it."""
+        self._parse(data)
         completed, self.completed = self.completed, []
         for exchange in completed:
             if self.closing:  # an earlier response was the connection's last
@@ -137,6 +184,10 @@
         self._update_reading()
         self.register_if_idle()
 
+    def parsing_delay(self) -> float:
+        """Seconds, at most, that the request being dispatched has waited here to be parsed."""
+        return time.monotonic() - self.unparsed_since if self.unparsed else 0.0
+
     def _parse(self, data: bytes) -> None:
         self.size.add_received(data)
         try:
@@ -147,14 +198,23 @@
             self.error_status = self.error_status or 400
 
     def _update_reading(self) -> None:
-        """Pauses reading while requests or responses pile up or the connection ends; else resumes it."""
+        """Pauses reading while much waits to be parsed or the connection ends; else resumes it."""
         if self.transport is None or self.transport.is_closing():
             return
-        full = len(self.exchanges) >= MAX_PIPELINED_REQUESTS or self.write_blocked_since is not None
-        if (full or self.error_status or self.closing) and not self.reading_paused:
+        ends = self.error_status or self.closing
+        if ends:
+            self.unparsed.clear()
+        if len(self.unparsed) >= READ_AHEAD_BYTES:
+            self.is_behind = True
+        elif self.is_behind and not self.unparsed and not self.has_unread_data():
+            self.is_behind = False
+        # Resumed only once much has been parsed, not with each turn.
+        limit = READ_AHEAD_BYTES // 2 if self.reading_paused else READ_AHEAD_BYTES
+        full = ends or len(self.unparsed) >= limit
+        if full and not self.reading_paused:
             self.reading_paused = True
             self.transport.pause_reading()
-        elif self.reading_paused and not (full or self.error_status or self.closing):
+        elif self.reading_paused and not full:
             self.reading_paused = False
             self.transport.resume_reading()
 
@@ -219,6 +279,7 @@
             self.error_status = 413
         if self.error_status:
             raise ValueError("invalid or excessive body length")  # stops the parser before the body
+        self.body_remaining = int(length)
         if exchange.header_values.get(b"expect", b"").lower() == b"100-continue" and not self.exchanges:
             assert self.transport is not None
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -226,6 +287,7 @@
     def on_body(self, body: bytes) -> None:
         assert self.incoming is not None
         self.size.add_body(body)
+        self.body_remaining = max(0, self.body_remaining - len(body))
         if self.size.body_exceeded:
             self.error_status = 413
         else:
@@ -259,19 +321,28 @@
             if last:
                 self.close_when_written()
                 return
-        self._update_reading()
+        self._continue_parsing()
         self.register_if_idle()
 
+    def _continue_parsing(self) -> None:
+        """Queues the connection for a turn if it can take one now."""
+        if self.unparsed and self._may_parse():
+            self.server.turns.add(self)
+
     def _drain_complete(self) -> bool:
         """Whether the server is draining and no further request has arrived on this connection."""
-        return self.server.draining and not (self.exchanges or self.incoming or self.has_unread_data())
+        return self.server.draining and not (
+            self.exchanges or self.incoming or self.unparsed or self.has_unread_data()
+        )
 
     def close_when_written(self) -> None:
         """Closes the connection once its last response is sent; later requests on it are not answered."""
         assert self.transport is not None
         self.closing = True
         self.server.idle_connections.pop(self, None)
-        more_incoming = self.error_status or self.incoming or self.exchanges or self.has_unread_data()
+        more_incoming = (
+            self.error_status or self.incoming or self.exchanges or self.unparsed or self.has_unread_data()
+        )
         self._abandon_requests()
         if more_incoming:
             # Closing while data is still coming in would reset the connection and lose the response.
@@ -294,14 +365,14 @@
 
     def pause_writing(self) -> None:
         self.write_blocked_since = time.monotonic()
-        self._update_reading()
 
     def resume_writing(self) -> None:
         self.write_blocked_since = None
-        self._update_reading()
+        self._continue_parsing()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.remove(self)
+        self.unparsed.clear()
         self._abandon_requests()
 
     def _abandon_requests(self) -> None:
@@ -313,10 +384,8 @@
         self.exchanges.clear()
 
     def is_idle(self) -> bool:
-        return (
-            not (self.exchanges or self.incoming or self.closing or self.error_status)
-            and self.transport is not None
-        )
+        is_busy = self.exchanges or self.incoming or self.unparsed or self.closing or self.error_status
+        return not is_busy and self.transport is not None
 
     def has_pending_response(self) -> bool:
         """Whether a request is unanswered or may be unread, or a response is not written in full."""
@@ -326,7 +395,7 @@
             return True
         if self.closing or self.transport.is_closing():
             return False
-        return bool(self.exchanges) or self.has_unread_data()
+        return bool(self.exchanges or self.unparsed) or self.has_unread_data()
 
     def close_if_idle(self) -> bool:
         """Closes an idle connection unless data has arrived on it, unread; returns whether it did."""
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -12,9 +12,10 @@
 from typing import Any, Protocol
 
 from coralvale import interface as api
-from coralvale.net.client_connection import ClientConnection, Exchange, has_event
+from coralvale.net.client_connection import READ_SIZE_BYTES, ClientConnection, Exchange, has_event
 from coralvale.net.config import Address
 from coralvale.net.request import BadRequest, ParsedRequest, ParserSettings
+from coralvale.net.turns import TurnQueue
 
 log = logging.getLogger(__name__)
 
@@ -65,6 +66,8 @@
         self.parser_settings, self.retry_after_limit = ParserSettings(settings), settings.retry_after_limit
         self.loop = asyncio.get_running_loop()
         self.connections: set[ClientConnection] = set()
+        self.turns = TurnQueue(self.loop)  # connections with received data that waits to be parsed
+        self.read_buffer = memoryview(bytearray(READ_SIZE_BYTES))  # emptied after each read
         # Longest idle first, by order of insertion; only the front is examined.
         self.idle_connections: OrderedDict[ClientConnection, None] = OrderedDict()
         self.lingering: OrderedDict[ClientConnection, asyncio.TimerHandle] = OrderedDict()
@@ -189,6 +192,7 @@
     def remove(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
         self.idle_connections.pop(connection, None)
+        self.turns.remove(connection)
         if timer := self.lingering.pop(connection, None):
             timer.cancel()
 
@@ -207,7 +211,7 @@
                 exchange.reject(400, f"{error}\n".encode())
                 return
             # The timeout runs from the request's last byte, which may have arrived before the accept.
-            request.timeout -= exchange.connection.backlog_wait
+            request.timeout -= exchange.connection.backlog_wait + exchange.connection.parsing_delay()
             exchange.connection.backlog_wait = 0.0
             self.handler.handle_request(exchange, request)
         elif path == b"/up" and exchange.method in (b"GET", b"HEAD"):
@@ -243,6 +247,7 @@
                     connection.close_if_idle()
             elif (
                 connection.incoming
+                and not connection.unparsed
                 and now - connection.request_started_at > REQUEST_READ_TIMEOUT_S
                 and not connection.exchanges
             ):
@@ -285,6 +290,7 @@
     def close(self) -> None:
         self._pause_accepting()
         self.sweep_timer.cancel()
+        self.turns.close()
         self.socket.close()
         for connection in list(self.connections):
             if connection.transport:
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -21,6 +21,7 @@
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
+from coralvale.net.client_connection import READ_AHEAD_BYTES, READ_SIZE_BYTES
 from coralvale.net.message_size import MAX_BODY_BYTES, MAX_FIELDS
 
 MAX_LOOP_HOLD_S = 0.02  # of processor time, for which one message may hold up the event loop
@@ -192,7 +193,13 @@
             await until(lambda: w.node.server.connections)
             (connection,) = w.node.server.connections
             await until(lambda: connection.transport)
-            connection.data_received(data)
+            for start in range(0, len(data), READ_SIZE_BYTES):  # as if the system had all of it at hand
+                piece = data[start : start + READ_SIZE_BYTES]
+                connection.get_buffer(-1)[: len(piece)] = piece
+                connection.buffer_updated(len(piece))
+                if connection.reading_paused:
+                    break
+            assert connection.reading_paused and len(connection.unparsed) <= READ_AHEAD_BYTES
             assert (await client.receive()).status in (200, 503)
             assert (await client.receive()).status == 400
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -35,7 +35,7 @@
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
-from coralvale.net.client_connection import MAX_PIPELINED_REQUESTS, Exchange
+from coralvale.net.client_connection import MAX_PIPELINED_REQUESTS, READ_AHEAD_BYTES, Exchange
 from coralvale.net.clock import Clock
 from coralvale.net.node import FLUSH_S, KILL_MARGIN_S, PendingRequest
 from coralvale.net.server import NEW_CONNECTION_GRACE_S
@@ -282,7 +282,7 @@
 
 @pytest.mark.parametrize("waits", ["for a connection", "for the decision module"])
 def test_a_client_that_closes_while_its_connection_is_not_read_is_noticed(waits: str) -> None:
-    """Its connection has too many open requests to be read, and its close follows unread bytes."""
+    """Its connection has too much waiting behind open requests to be read; its close follows unread bytes."""
 
     async def test() -> None:
         host = await FakeServer(http_response()).start()
@@ -293,8 +293,11 @@
             with socket.create_connection(("127.0.0.1", w.node.server.port)) as client:
                 await until(lambda: w.node.server.connections)
                 client.sendall(b"".join(request(f"r{i}") for i in range(MAX_PIPELINED_REQUESTS)))
+                await until(lambda: len(w.node.pending) == MAX_PIPELINED_REQUESTS)
+                client.sendall(request("unread", "write", body=b"x" * (READ_AHEAD_BYTES - 1000)))
+                client.sendall(request("also unread") * 20)
                 await until(lambda: any(c.reading_paused for c in w.node.server.connections))
-                client.sendall(request("unread"))
+                client.sendall(request("never read"))
             if waits == "for a connection":
                 go.set()
                 await w.attempt_done(MAX_PIPELINED_REQUESTS)
