Send nothing for a client whose end may lie behind data that was not read

Cause: the check before each write looks for the client's end (POLLRDHUP). With the receive window full the end cannot arrive: it waits in the client's system behind the data that the gateway does not read while it has enough. So an attempt that had waited for a connection was written, however long ago the client had closed. Excluded: an end that has arrived behind unread data, which the check sees.

Meanwhile its requests are answered 503 at once, at their arrival and just before an attempt would be written. By the protocol a client has one request open on a connection, which has at most 80 KB.

--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -327,6 +327,8 @@
         def build_payload() -> bytes | None:
             if pending.exchange.connection.is_disconnected():
                 self.client_disconnected(pending.exchange)
+            elif pending.exchange.connection.is_behind:  # the client may have left
+                self._reply_undecided(pending)
             now, deadline = self.clock.now(), min(attempt_deadline, pending.expires_at)
             write = api.AttemptWrite(action.request, number, deadline, client_waits=not pending.answered)
             if not self._is_listed(endpoint) or not self._may_write(now, write):
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -205,6 +205,9 @@
                 exchange.close_after = True
                 exchange.reply(503, retry_after=self.retry_after_limit)
                 return
+            if exchange.connection.is_behind:  # the client may have left: nothing may be sent to a host
+                exchange.reply(503, retry_after=self.retry_after_limit)
+                return
             try:
                 request = ParsedRequest(self.parser_settings, exchange.method, exchange.header_values)
             except BadRequest as error:
--- a/tests/test_client_leaves.py
+++ b/tests/test_client_leaves.py
@@ -56,6 +56,21 @@
     run(test())
 
 
+# Guards against a client that is refused for good after it has once sent much at once.
+def test_requests_are_forwarded_again_once_all_that_was_sent_has_been_read() -> None:
+    async def test() -> None:
+        host = await FakeServer(http_response(body=b"served")).start()
+        async with running_gateway(host_entry("s-1", host.port), real_module=True) as w:
+            client, count = await w.client(), 2000
+            client.send(b"".join(request(f"r{i}") for i in range(count)))
+            statuses = [(await client.receive()).status for _ in range(count)]
+            assert set(statuses) == {200, 503}
+            assert (await client.ask(request("later"))).body == b"served"
+        host.stop()
+
+    run(test())
+
+
 # Guards against a request that runs twice as its id comes again after the first client has left.
 @pytest.mark.parametrize("ended", ["in hand", "reset by the host", "answered too late"])
 def test_an_id_that_may_have_run_is_not_sent_again_after_its_client_has_left(ended: str) -> None:
