Look whether a connection has caught up before its requests are answered

Cause: ClientConnection._process looked at what waits only after it had dispatched what was parsed. Change: it looks before.

--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -174,6 +174,7 @@
     def _process(self, data: bytes) -> None:
         """Parses data and dispatches the requests that end in it."""
         self._parse(data)
+        self._update_reading()
         completed, self.completed = self.completed, []
         for exchange in completed:
             if self.closing:  # an earlier response was the connection's last
@@ -181,7 +182,7 @@
             self.server.dispatch(exchange)
         if self.error_status:
             self._reply_error()
-        self._update_reading()
+            self._update_reading()
         self.register_if_idle()
 
     def parsing_delay(self) -> float:
