Abort as many lingering connections as there are beyond the limit

Found while the memory of stalled clients was traced: with 600 of them 411 connections lingered, where 32 are allowed, each for 1 s.

Cause: Server.linger aborts the connection that has lingered for longest and leaves it in the list, from which it goes only when its end is reported, a turn of the loop later. When many begin to linger in one turn, each of them aborts that same one.

Change: it is taken out of the list as it is aborted. The test of 40 at once failed before.

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -180,7 +180,8 @@
         assert connection.transport is not None
         self.lingering[connection] = self.loop.call_later(LINGER_S, connection.transport.abort)
         if len(self.lingering) > MAX_LINGERING:
-            oldest = next(iter(self.lingering))
+            oldest, timer = self.lingering.popitem(last=False)  # now: it is removed only some time after
+            timer.cancel()
             assert oldest.transport is not None
             oldest.transport.abort()
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -415,6 +415,24 @@
     run(test())
 
 
+# Guards against connections that end at once and linger in any number, as only one of them is aborted.
+def test_the_number_of_connections_that_begin_to_linger_at_once_is_limited(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with running_gateway() as w:
+            clients = [await w.client() for _ in range(40)]
+            connections = w.node.server.connections
+            await until(lambda: len(connections) == 40 and all(c.transport for c in connections))
+            for client in clients:
+                client.send(b"nonsense\r\n\r\n")
+            await until(lambda: len(connections) == 2)
+
+    monkeypatch.setattr("coralvale.net.server.LINGER_S", 60.0)
+    monkeypatch.setattr("coralvale.net.server.MAX_LINGERING", 2)
+    run(test())
+
+
 def test_up_is_answered_200_once_the_host_list_has_arrived(monkeypatch: pytest.MonkeyPatch) -> None:
     async def up(client: Client) -> int:
         return (await client.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")).status
