Free an ended connection at once, not at the next full garbage collection

Cause: a connection has its parser, which refers back to the connection by its callbacks. Such a cycle is freed by the garbage collector alone, whose full runs are far between as most objects were frozen at start.

Change: a connection drops its parser as it ends.

--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -379,6 +379,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.remove(self)
         self.unparsed.clear()
+        del self.parser  # it refers back here: freed now, not at some later garbage collection
         self._abandon_requests()
 
     def _abandon_requests(self) -> None:
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -258,6 +258,7 @@
         self.pool.remove_idle(self)
         self.pool.change_open_count(-1)
         self.pool.upstreams.connections.discard(self)
+        del self.parser  # it refers back here: freed now, not at some later garbage collection
         if attempt := self.attempt:
             self.attempt = None
             self._mark_broken(attempt)
