At the connection limit, let requests that have stalled make room for new connections

What callers saw: with 600 clients that had sent a part of a head, all connections were taken, none of them was idle, and usual clients waited in the kernel until the stalled ones were ended after 2 s (slowest answer 3.2 s) or were refused as one connection too many.

Cause: Server._evict_idle looks at idle connections alone, so a client that has sent one byte of a request holds its place for 2 s.

Change: room is made by connections that have been idle for 0.25 s, then by the request that has been received for longest, if for 0.25 s (503; it is not received in full, so it is owed no more), and by shorter idle ones only while no request is being received.

The test in tests/test_server.py failed before.

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -33,6 +33,7 @@
 SWEEP_INTERVAL_S = 0.25  # between checks for connections to close
 EVICTION_CANDIDATES = 8  # longest-idle connections, of which the first closable one makes room
 STALL_TIME_S = 0.25  # after which a request not yet received, or a response not yet read, counts as stalled
+SHORT_PAUSE_S = 0.25  # between two requests, in which a connection is not closed to make room for another
 SILENT_CANDIDATES = 64  # longest-idle connections that are checked for silent ones at the connection limit
 
 
@@ -116,7 +117,7 @@
                     return
                 self._mark_backlogged()
                 # Many silent connections must not keep out the clients that wait in the kernel.
-                if not self._close_silent():
+                if not (self._close_silent() or self._end_stalled(MAX_ACCEPTS_PER_CALL)):
                     self._evict_idle()
                 self._pause_accepting()
                 self.loop.call_later(ACCEPT_PAUSE_S, self._resume_accepting)
@@ -143,7 +144,7 @@
             if self.backlogged_since is not None:
                 connection.backlog_wait = time.monotonic() - self.backlogged_since
             is_full = len(self.connections) >= self.max_connections or self.budget.is_exceeded
-            connection.is_overflow = is_full and not self._evict_idle()
+            connection.is_overflow = is_full and not self._make_room()
             self.connections.add(connection)
             task = self.loop.create_task(self._attach(connection, accepted))
             self.tasks.add(task)
@@ -167,14 +168,36 @@
             connection.held.set(0)
             accepted.close()
 
-    def _evict_idle(self) -> bool:
-        """Closes one of the longest-idle connections, sparing new ones; returns whether it did."""
+    def _make_room(self) -> bool:
+        """Closes an idle connection or one whose request has stalled; returns whether there was one.
+
+        A client between two requests in quick succession is spared while requests are being received that
+        will have stalled soon.
+        """
+        if self._evict_idle(SHORT_PAUSE_S) or self._end_stalled(1):
+            return True
+        return not self.receiving and self._evict_idle()
+
+    def _end_stalled(self, count: int) -> int:
+        """Refuses those of the `count` oldest requests being received that have stalled; returns how many."""
+        now = time.monotonic()
+        oldest = list(islice(self.receiving, count))
+        stalled = [c for c in oldest if now - c.request_started_at >= STALL_TIME_S]
+        for connection in stalled:
+            connection.end_incoming_request(503, self.retry_after_limit)
+        return len(stalled)
+
+    def _evict_idle(self, min_idle_time: float = 0.0) -> bool:
+        """Closes one of the longest-idle connections, sparing new ones; returns whether it did.
+
+        Only those count that have been idle for `min_idle_time` seconds.
+        """
         now = time.monotonic()
         candidates = list(islice(self.idle_connections, EVICTION_CANDIDATES))
         return any(
             c.close_if_idle()
             for c in candidates
-            if c.has_sent_request or now - c.last_active_at >= NEW_CONNECTION_GRACE_S
+            if now - c.last_active_at >= (min_idle_time if c.has_sent_request else NEW_CONNECTION_GRACE_S)
         )
 
     def _close_silent(self) -> int:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -433,6 +433,28 @@
     run(test())
 
 
+# Guards against half-sent requests that take all connections, while none of them is idle.
+def test_at_the_connection_limit_a_request_that_has_stalled_makes_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with running_gateway() as w:
+            refuse_all(w)
+            w.node.server.max_connections, w.node.server.max_overflow = 2, 1
+            stalled, other = await w.client(), await w.client()
+            stalled.send(request("r1")[:-1])
+            await until(lambda: len(w.node.server.receiving) == 1)
+            other.send(request("r2")[:-1])
+            await until(lambda: len(w.node.server.receiving) == 2)
+            usual = await w.client()
+            assert (await usual.ask(request("r3"))).headers.get(b"connection") is None
+            assert (await stalled.receive()).status == 503 and await stalled.closed_by_gateway()
+            assert list(w.node.server.receiving) == [c for c in w.node.server.connections if c.incoming]
+
+    monkeypatch.setattr("coralvale.net.server.STALL_TIME_S", 0.0)
+    run(test())
+
+
 def test_up_is_answered_200_once_the_host_list_has_arrived(monkeypatch: pytest.MonkeyPatch) -> None:
     async def up(client: Client) -> int:
         return (await client.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")).status
