Keep no more customers' records than the memory allows, and update them in parts

Cause: Admission keeps a restrictor for each customer that sends a request, for 60 s after its last one, however many there are: 1.1 KB each with its entry, 27 MB in 15 s of 40 clients that name a new customer in each request (private memory 13; 40 MB). All of them are also updated in one go each second, 1.7 us each: 50 ms in which nothing else happens with 30,000 customers (by calculation from 20,000 updates timed).

Change: coralvale/customers.py keeps at most as many as a quarter of what the process leaves of its limit has room for (1,280 bytes each, 1,024 at least). For a new customer beyond that the one goes that has not sent for longest and limits nothing now, else one whose bucket is not empty; those with attempts out or a ceiling in use stay, and if none of 16 can go the request is refused ("customers" in the log). It holds as no limit that must not be broken is forgotten; a quota may give a part of its burst again. Up to 4,000 records are updated in one go, the rest 0.1 s later, so nothing changes with fewer.

--- a/coralvale/admission.py
+++ b/coralvale/admission.py
@@ -11,9 +11,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from coralvale import interface as api
+from coralvale.customers import CustomerTable
 from coralvale.reservation import Reservation
 from coralvale.restrictor import RATE_UPDATE_INTERVAL_S, Restrictor
 from coralvale.shared_quota import Calls, PendingCall, SharedQuota, has_total
@@ -24,29 +26,34 @@
 EXCESS_COST_FACTOR = 2.0
 SIZE_PENALTY_EXPONENT = 3.0  # how steeply the admission probability falls with a request's size
 MEAN_UNITS_EWMA_WEIGHT = 0.02  # weight of the newest request in the mean units of its plan
-IDLE_TIMEOUT_S = 60.0  # time without requests after which a customer's restrictor may be dropped
 
 
 class Admission:
     """Decides on requests, by the customers' restrictors of this gateway and by their shared buckets."""
 
-    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
+    def __init__(self, settings: api.Settings, rng: random.Random, max_customers: float = math.inf) -> None:
         self.settings = settings
-        self.restrictors: dict[int, Restrictor] = {}  # by customer
+        self.customers = CustomerTable(max_customers)
+        self.restrictors = self.customers.restrictors  # by customer
         self.shared_quota = SharedQuota(settings, rng)
         self.random = rng
         self.mean_units = [0.0] * len(settings.plans)  # of the requests, by plan
         self.requests_seen = [0] * len(settings.plans)  # by plan
         self.started_at: float | None = None  # time of this gateway's first event
 
-    def restrictor_for(self, now: float, request: api.Request) -> Restrictor:
-        """The restrictor of the request's customer, updated for the request; made if there is none."""
-        plan, restrictor = self.settings.plans[request.plan_index], self.restrictors.get(request.customer)
+    def restrictor_for(self, now: float, request: api.Request) -> Restrictor | None:
+        """The restrictor of the request's customer, updated for the request; made if there is none.
+
+        None if there is no room for a new customer.
+        """
+        restrictor = self.customers.touch(request.customer)
         if restrictor is None:
+            plan = self.settings.plans[request.plan_index]
             restrictor = Restrictor(
                 plan, request.entry_gateways, now, self.started_at, self.settings.may_count
             )
-            self.restrictors[request.customer] = restrictor
+            if not self.customers.add(now, request.customer, restrictor):
+                return None
         restrictor.last_request_at = now
         self._update_restrictor(now, request, restrictor)
         self._record_units(request)
@@ -132,13 +139,6 @@
             for name in self.shared_quota.overdue_calls(now)
         ]
 
-    def update_rates(self, now: float) -> None:
-        """Updates all leak rates, every RATE_UPDATE_INTERVAL_S, and drops idle customers' restrictors."""
-        for customer, restrictor in list(self.restrictors.items()):
-            restrictor.update_rate(now)
-            if now - restrictor.last_request_at > IDLE_TIMEOUT_S and restrictor.can_be_dropped():
-                del self.restrictors[customer]
-
     def _record_units(self, request: api.Request) -> None:
         """Adds a request to the mean units of its plan, a plain mean at first, later a moving average."""
         self.requests_seen[request.plan_index] += 1
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -53,7 +53,8 @@
 class Gateway:
     """The decisions of one gateway; `handle` takes an event and returns the actions to perform."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, max_customers: float = math.inf) -> None:
+        """`max_customers`: how many customers' records may be kept at once."""
         self.settings, self.random = settings, random.Random(seed)
         self.hosts: dict[str, Host] = {}  # by id
         self.warm_hosts, self.cold_hosts = list[Host](), list[Host]()  # those listed as healthy
@@ -67,7 +68,7 @@
         self.mean_delay = sum(self.class_delays) / len(self.class_delays)  # over all classes
         self.throughput = EventRate(EWMA_WEIGHT)  # successful attempts a second
         self.retry_budget = 1.0  # retries that may be sent now
-        self.admission = Admission(settings, self.random)
+        self.admission = Admission(settings, self.random, max_customers)
         # When the leak rates and the subset are next updated; when the host list is asked for again after a
         # failed call (0: no call is to be repeated).
         self.next_update_at, self.list_retry_at = 0.0, 0.0
@@ -101,6 +102,8 @@
     def _on_request(self, now: float, request: api.Request) -> None:
         self.settings.check(request)
         restrictor = self.admission.restrictor_for(now, request)
+        if restrictor is None:
+            return self._refuse(Refused(request, Reason.CUSTOMERS, RATE_UPDATE_INTERVAL_S))
         if now >= request.expires_at:
             return self._refuse(Refused(request, Reason.TOO_LATE, 0.0))
         self._apply_decision(now, self.admission.decide(now, request, restrictor))
@@ -478,4 +481,5 @@
         if now >= self.next_update_at:
             self.next_update_at += RATE_UPDATE_INTERVAL_S
             self._choose_subset()
-            self.admission.update_rates(now)
+            self.admission.customers.begin_update()
+        self.admission.customers.update_rates(now)
--- a/coralvale/net/memory.py
+++ b/coralvale/net/memory.py
@@ -11,6 +11,7 @@
 import os
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import StrEnum
 from pathlib import Path
 
@@ -20,6 +21,9 @@
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 MAX_USED_SHARE = 0.9  # of the limit: the rest is for what is not counted
 MIN_BUDGET_BYTES = 4 * MEBIBYTE  # enough to serve some hundred clients, however much the process itself takes
+CUSTOMERS_SHARE = 0.25  # of what the process leaves, for the records of customers
+CUSTOMER_BYTES = 1280  # of a customer's record in the decision module
+MIN_CUSTOMERS = 1024  # kept however little memory there is
 ROOM_SHARE = 0.75  # of the budget, above which less is read at once and nothing is read ahead
 CLIENT_CONNECTION_BYTES = 4 * 1024  # of a connection that holds no data
 HOST_CONNECTION_BYTES = 4 * 1024
@@ -100,6 +104,16 @@
         return 0
 
 
-def budget_bytes(limit_mb: float, resident: int) -> float:
-    """The budget for the peers of a process that may use `limit_mb` MiB and takes `resident` bytes itself."""
-    return max(MIN_BUDGET_BYTES, MAX_USED_SHARE * limit_mb * MEBIBYTE - resident)
+@dataclass(frozen=True, slots=True)
+class MemoryShares:
+    """How the memory that the process itself leaves is divided."""
+
+    peers_bytes: float
+    max_customers: int
+
+
+def share_out(limit_mb: float, resident: int) -> MemoryShares:
+    """Divides what a process that may use `limit_mb` MiB and takes `resident` bytes itself leaves."""
+    free = max(0.0, MAX_USED_SHARE * limit_mb * MEBIBYTE - resident)
+    customers = int(CUSTOMERS_SHARE * free / CUSTOMER_BYTES)
+    return MemoryShares(max(MIN_BUDGET_BYTES, (1 - CUSTOMERS_SHARE) * free), max(MIN_CUSTOMERS, customers))
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -24,7 +24,7 @@
 from coralvale.net.config import Address, Config, HostInstance
 from coralvale.net.counter import CounterClient
 from coralvale.net.discovery import Discovery, Endpoint
-from coralvale.net.memory import MemoryBudget, budget_bytes, resident_bytes
+from coralvale.net.memory import MemoryBudget, resident_bytes, share_out
 from coralvale.net.request import ParsedRequest
 from coralvale.net.request_ids import RecentIds
 from coralvale.net.response import Response
@@ -95,7 +95,9 @@
         self.config, self.settings = config, config.settings
         self.clock = clock or Clock()
         self.loop = asyncio.get_running_loop()
-        self.gateway = Gateway(config.settings, config.seed)
+        shares = share_out(config.memory_mb, resident_bytes())
+        self.budget = MemoryBudget(shares.peers_bytes)
+        self.gateway = Gateway(config.settings, config.seed, shares.max_customers)
         self.pending: dict[str, PendingRequest] = {}
         # Of requests that may have run and must not run twice: a client that has left may send its id again.
         self.recent_ids = RecentIds(RECENT_ID_PERIOD_S, round(config.memory_mb * RECENT_IDS_PER_MB))
@@ -107,7 +109,6 @@
         self.processing = False
         # Delays of the module's timers by token, to set a timer again if the module fails as it fires.
         self.timer_delays: dict[int, float] = {}
-        self.budget = MemoryBudget(budget_bytes(config.memory_mb, resident_bytes()))
         sockets = descriptor_limit(config.sockets)
         share = (sockets - min(RESERVED_DESCRIPTORS, sockets // 4)) // 2  # for clients and for hosts each
         overflow = share // 8  # client connections on which /api only gets a 503
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -128,8 +128,12 @@
         Its averages, blocks and units queued for the counter are lost when it is dropped.
         """
         is_filled = self.fill > 0 and self.plan.rate > 0  # without a rate the fill never leaks nor limits
+        return self.holds_no_limit() and not is_filled
+
+    def holds_no_limit(self) -> bool:
+        """Whether no attempts are outstanding and no tokens of the ceiling are spent; the fill may limit."""
         is_short = self.plan.ceiling_rate > 0 and self.ceiling_tokens < self.unpooled_ceiling_burst
-        return not (self.open_attempts or is_filled or is_short)
+        return not (self.open_attempts or is_short)
 
     def drain(self, now: float) -> None:
         """Lets the bucket leak, and adds the ceiling's tokens, up to the current time."""
--- a/coralvale/state.py
+++ b/coralvale/state.py
@@ -64,6 +64,7 @@
 
     ATTEMPTS_USED_UP = "attempts used up"  # also no time, retry budget or host left for a retry
     CEILING = "ceiling"
+    CUSTOMERS = "customers"  # no room for a new one
     NO_HOST = "no server"
     OPEN_LIMIT = "open limit"
     OVERLOAD = "pressed"  # the expected wait for a host is too long
--- a/testbed/hostile/clients.py
+++ b/testbed/hostile/clients.py
@@ -17,6 +17,7 @@
     UP_REQUEST_OF_MANY_FIELDS,
     api_request,
 )
+from testbed.standins.http import read_message
 
 RECONNECT_DELAY_S = 0.02
 WITHHELD_BYTES = 2000  # of a request whose sending stops before its end
@@ -45,6 +46,7 @@
     FLOOD_UNSOUND = "flood-unsound"
     FLOOD_FIELDS = "flood-fields"
     FLOOD_NEW_CUSTOMERS = "flood-new-customers"
+    NEW_CUSTOMERS = "new-customers"  # sends a request of a new customer as soon as the last one is answered
 
 
 async def discard_responses(reader: asyncio.StreamReader) -> None:
@@ -101,6 +103,19 @@
         connection.close()
 
 
+async def ask_on_and_on(address: Address, make: Callable[[], bytes]) -> None:
+    """Sends one request after another on a connection, each once the one before is answered."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        while True:
+            writer.write(make())
+            await read_message(reader)
+    except asyncio.IncompleteReadError:
+        return
+    finally:
+        writer.transport.abort()
+
+
 class HostileClient:
     """One client of a kind; `index` sets apart its request ids and its customers' numbers."""
 
@@ -118,6 +133,7 @@
             Kind.FLOOD_UNSOUND: lambda: flood(address, lambda _: self._request(units="x")),
             Kind.FLOOD_FIELDS: lambda: flood(address, lambda _: UP_REQUEST_OF_MANY_FIELDS),
             Kind.FLOOD_NEW_CUSTOMERS: lambda: flood(address, lambda _: self._request()),
+            Kind.NEW_CUSTOMERS: lambda: ask_on_and_on(address, self._request),
         }
 
     async def run(self) -> None:
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -273,7 +273,11 @@
 
 @contextlib.asynccontextmanager
 async def running_gateway(
-    *known_hosts: dict[str, Any], real_module: bool = False, sockets: int = 256, **changes: dict[str, Any]
+    *known_hosts: dict[str, Any],
+    real_module: bool = False,
+    sockets: int = 256,
+    memory_mb: float = 4000.0,
+    **changes: dict[str, Any],
 ) -> AsyncIterator[RunningGateway]:
     """Starts a gateway with an initial host list; a script decides for it unless `real_module` is set."""
     registry, counter = Registry(), FakeServer()
@@ -286,7 +290,7 @@
             "discovery": f"127.0.0.1:{registry.port}",
             "counter": f"127.0.0.1:{counter.port}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"sockets": sockets},
+            "limits": {"sockets": sockets, "memory_mb": memory_mb},  # the tests themselves take memory
             "known": {"index": 41, "snapshot": True, "endpoints": list(known_hosts)},
             "settings": settings(**changes),
         }
--- a/tests/quota_books.py
+++ b/tests/quota_books.py
@@ -16,7 +16,7 @@
 from helpers import PLAN, Bench
 
 from coralvale import interface as api
-from coralvale.admission import IDLE_TIMEOUT_S
+from coralvale.customers import IDLE_TIMEOUT_S
 from coralvale.shared_quota import (
     COUNTER_ENTRY_ROTATION_S,
     COVERAGE_ALL_REQUESTS,
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -23,13 +23,16 @@
 from coralvale import interface as api
 from coralvale.net.memory import (
     CLIENT_CONNECTION_BYTES,
+    CUSTOMER_BYTES,
     MEBIBYTE,
     MIN_BUDGET_BYTES,
+    MIN_CUSTOMERS,
     HeldBytes,
     MemoryBudget,
+    MemoryShares,
     ShedStep,
-    budget_bytes,
     resident_bytes,
+    share_out,
 )
 
 BODY_BYTES = 40_000
@@ -80,12 +83,25 @@
     assert budget.held == 0 and budget.peak == 200 + 8 * 8  # before the last parts were given up
 
 
-def test_the_budget_is_what_the_process_leaves_of_its_limit_and_never_too_little_to_serve() -> None:
-    assert budget_bytes(200, 30 * MEBIBYTE) == 150 * MEBIBYTE
-    assert budget_bytes(32, 31 * MEBIBYTE) == MIN_BUDGET_BYTES
+def test_peers_and_customers_share_what_the_process_leaves_of_its_limit() -> None:
+    shares = share_out(200, 20 * MEBIBYTE)
+    assert shares.peers_bytes == 120 * MEBIBYTE
+    assert shares.max_customers == 40 * MEBIBYTE // CUSTOMER_BYTES
+    assert share_out(32, 31 * MEBIBYTE) == MemoryShares(MIN_BUDGET_BYTES, MIN_CUSTOMERS)
     assert resident_bytes() > 5 * MEBIBYTE
 
 
+def test_a_gateway_takes_its_shares_from_the_configured_limit() -> None:
+    async def test() -> None:
+        async with running_gateway(real_module=True, memory_mb=4000.0) as w:
+            expected = 0.9 * 4000 * MEBIBYTE - resident_bytes()
+            assert w.node.budget.limit == pytest.approx(0.75 * expected, rel=0.01)
+            table = w.node.gateway.admission.customers
+            assert table.max_customers == pytest.approx(0.25 * expected / CUSTOMER_BYTES, rel=0.01)
+
+    run(test())
+
+
 # Guards against a limit on each request alone, which hundreds of connections exceed together.
 def test_beyond_the_limit_the_largest_half_received_request_is_refused_and_sound_ones_are_served() -> None:
     async def test() -> None:
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -10,6 +10,7 @@
     "coralvale/restrictor.py": None,
     "coralvale/shared_quota.py": None,
     "coralvale/admission.py": None,
+    "coralvale/customers.py": None,
     "coralvale/logic.py": {"QUOTA_RETRY_AFTER_FRACTION", "TIMER_INTERVAL_S"},
 }
 
--- a/tests/test_quota_faults.py
+++ b/tests/test_quota_faults.py
@@ -8,7 +8,7 @@
 from test_quota_input import OPEN_ONLY, QuotaBench
 
 from coralvale import interface as api
-from coralvale.admission import IDLE_TIMEOUT_S
+from coralvale.customers import IDLE_TIMEOUT_S
 from coralvale.logic import TIMER_INTERVAL_S
 from coralvale.restrictor import RATE_UPDATE_INTERVAL_S
 from coralvale.shared_quota import MAX_CALL_UNITS
