Log what is held and shed, what the node turns away and why, and each attempt that fails

Every 10 s the log now has a line on what is held (connections by state, requests, bytes of peers now, at the most and allowed, resident memory) and one on what was closed, turned away or given up in that time, by reason. What memory or connections are taken from names the client's address, the age and the bytes of its connection; a failed attempt names request, host, outcome and delay; the limits stand in a line at the start.

--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -220,6 +220,18 @@
             size += exchange.held_bytes()
         self.held.set(size)
 
+    def describe(self) -> str:
+        """Where the connection comes from and what it holds, for the log."""
+        peer = self.transport.get_extra_info("peername") if self.transport else None
+        where = f"{peer[0]}:{peer[1]}" if peer else "unknown"
+        age = time.monotonic() - self.opened_at
+        receiving = f"{self.incoming_bytes()} bytes of a request" if self.incoming else "no request"
+        return (
+            f"client {where}, open for {age:.1f} s, holds {self.held.size} bytes: "
+            f"{receiving} being received, {len(self.unparsed)} not parsed, "
+            f"{len(self.exchanges)} requests unanswered"
+        )
+
     def incoming_bytes(self) -> int:
         """Bytes of the request that is being received."""
         return self.size.overhead + self.body.__alloc__()
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -24,11 +24,12 @@
 from coralvale.net.config import Address, Config, HostInstance
 from coralvale.net.counter import CounterClient
 from coralvale.net.discovery import Discovery, Endpoint
-from coralvale.net.memory import MemoryBudget, resident_bytes, share_out
+from coralvale.net.memory import MEBIBYTE, MemoryBudget, resident_bytes, share_out
 from coralvale.net.request import ParsedRequest
 from coralvale.net.request_ids import RecentIds
 from coralvale.net.response import Response
 from coralvale.net.server import Server
+from coralvale.net.status_log import Rejection, StatusLog
 from coralvale.net.upstream import Attempt, Upstreams
 
 log = logging.getLogger(__name__)
@@ -49,6 +50,7 @@
 FLUSH_S = 0.1  # for the last responses to be sent
 DRAIN_POLL_S = 0.05  # between checks whether the drain is complete
 MAX_EXTRA_POLLS = 4  # after FLUSH_S, if responses are not yet sent; both together stay within KILL_MARGIN_S
+STATUS_INTERVAL_S = 10.0  # between two lines in the log on what is held and what was turned away
 DEFAULT_TIMER_DELAY_S = 1.0  # for setting a timer again whose delay is not known
 RECENT_ID_PERIOD_S = 30.0  # for which the id of a request that may have run is not accepted again
 RECENT_IDS_PER_MB = 64  # of the memory limit, each id takes 100 to 250 bytes
@@ -97,6 +99,7 @@
         self.loop = asyncio.get_running_loop()
         shares = share_out(config.memory_mb, resident_bytes())
         self.budget = MemoryBudget(shares.peers_bytes)
+        self.max_customers = shares.max_customers
         self.gateway = Gateway(config.settings, config.seed, shares.max_customers)
         self.pending: dict[str, PendingRequest] = {}
         # Of requests that may have run and must not run twice: a client that has left may send its id again.
@@ -112,7 +115,10 @@
         sockets = descriptor_limit(config.sockets)
         share = (sockets - min(RESERVED_DESCRIPTORS, sockets // 4)) // 2  # for clients and for hosts each
         overflow = share // 8  # client connections on which /api only gets a 503
-        self.server = Server(config.listen, config.settings, self, share - overflow, overflow, self.budget)
+        self.status_log = StatusLog(STATUS_INTERVAL_S)
+        self.server = Server(
+            config.listen, config.settings, self, share - overflow, overflow, self.budget, self.status_log
+        )
         self.upstreams = Upstreams(
             self.clock,
             config.connect_timeout,
@@ -150,6 +156,35 @@
         self.server.start()
         self.discovery.on_response = self._on_discovery_response
         self.loop.call_later(READY_TIMEOUT_S, self._set_ready)
+        self.status_timer = self.loop.call_later(STATUS_INTERVAL_S, self._log_status)
+        log.info(
+            "started: %g MB of memory, %.1f MB of it for peers, %d customers, %d client connections",
+            self.config.memory_mb,
+            self.budget.limit / MEBIBYTE,
+            self.max_customers,
+            self.server.max_connections,
+        )
+
+    def _log_status(self) -> None:
+        """Logs what the process holds, and what it has turned away or given up since the last time."""
+        self.status_timer = self.loop.call_later(STATUS_INTERVAL_S, self._log_status)
+        server = self.server
+        held = {
+            "client connections": len(server.connections),
+            "idle": len(server.idle_connections),
+            "receiving": len(server.receiving),
+            "not reading": len(server.write_blocked),
+            "lingering": len(server.lingering),
+            "host connections": self.upstreams.open_count,
+            "requests": len(self.pending),
+            "peers MB": round(self.budget.held / MEBIBYTE, 2),
+            "peak MB": round(self.budget.peak / MEBIBYTE, 2),
+            "of MB": round(self.budget.limit / MEBIBYTE, 2),
+            "resident MB": round(resident_bytes() / MEBIBYTE, 1),
+        }
+        for line in self.status_log.lines(held, self.budget.shed_counts):
+            log.info("%s", line)
+        self.budget.shed_counts.clear()
 
     def _on_discovery_response(self) -> None:
         self.loop.call_later(FIRST_MESSAGE_WAIT_S, self._set_ready)
@@ -181,6 +216,7 @@
 
     def close(self) -> None:
         """Closes all sockets immediately."""
+        self.status_timer.cancel()
         self.discovery_task.cancel()
         self.server.close()
         self.upstreams.close()
@@ -233,6 +269,7 @@
         """Answers a request without a decision: 503 only if trying again does no harm, else 502 or 504."""
         if pending is None or pending.answered:
             return
+        self.status_log.count(Rejection.UNDECIDED)
         if pending.may_have_run and not self._is_safe(pending.request):
             self._reply(pending, 504 if pending.last_timed_out else 502)
         else:
@@ -268,9 +305,12 @@
     def handle_request(self, exchange: Exchange, request: ParsedRequest) -> None:
         # Two requests with the same id could not be told apart, and one that has run must not run again.
         if request.id in self.pending or request.id in self.recent_ids:
+            self.status_log.count(Rejection.ID_IN_USE)
+            log.info("request %s: id in use, or run before", request.id)
             exchange.reject(400, b"x-request-id: in use\n")
             return
         if len(self.pending) >= self.config.most_held:
+            self.status_log.count(Rejection.TOO_MANY_PENDING)
             exchange.reply(503, retry_after=self.settings.retry_after_limit)
             return
         now = self.clock.now()
@@ -298,6 +338,7 @@
     def client_disconnected(self, exchange: Exchange) -> None:
         pending = exchange.pending_request
         if pending is not None and not pending.answered:
+            self.status_log.count(Rejection.CLIENT_LEFT)
             pending.answered = True
             exchange.drop_request()
             self.dispatch(api.RequestAbandoned(pending.request.id))
@@ -386,6 +427,15 @@
     ) -> None:
         """Called once when an attempt ends; the first OK response goes to the client immediately."""
         pending.outstanding -= 1
+        if outcome not in (Outcome.OK, Outcome.CANCELLED) and not pending.answered:
+            log.info(
+                "request %s: attempt %d at host %s ended as %s after %.3f s",
+                pending.request.id,
+                attempt.index,
+                attempt.host,
+                outcome.value,
+                self.clock.now() - attempt.sent_at,
+            )
         pending.may_have_run = pending.may_have_run or outcome not in NOT_RUN
         pending.last_timed_out = outcome is Outcome.TIMEOUT
         if outcome is Outcome.OK and response and not pending.answered:
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -16,6 +16,7 @@
 from coralvale.net.config import Address
 from coralvale.net.memory import MemoryBudget, ShedStep
 from coralvale.net.request import BadRequest, ParsedRequest, ParserSettings
+from coralvale.net.status_log import Rejection, StatusLog
 from coralvale.net.turns import TurnQueue
 
 log = logging.getLogger(__name__)
@@ -58,13 +59,14 @@
         max_connections: int,
         max_overflow: int,
         budget: MemoryBudget,
+        status_log: StatusLog,
     ) -> None:
         # Beyond `max_connections`, a new connection takes the place of an idle one, or else is answered
         # 503 and closed. With `max_overflow` connections more, new ones wait in the kernel.
         self.handler, self.max_connections, self.max_overflow = handler, max_connections, max_overflow
         self.parser_settings, self.retry_after_limit = ParserSettings(settings), settings.retry_after_limit
         self.loop = asyncio.get_running_loop()
-        self.budget = budget  # of all connections
+        self.budget, self.status_log = budget, status_log
         budget.steps[ShedStep.INCOMING_REQUEST] = self._shed_incoming
         budget.steps[ShedStep.UNREAD_RESPONSE] = self._shed_unread
         budget.steps[ShedStep.IDLE_CLIENT] = self._evict_idle
@@ -184,6 +186,8 @@
         oldest = list(islice(self.receiving, count))
         stalled = [c for c in oldest if now - c.request_started_at >= STALL_TIME_S]
         for connection in stalled:
+            self.status_log.count(Rejection.STALLED)
+            log.info("connection limit: refusing a stalled request, %s", connection.describe())
             connection.end_incoming_request(503, self.retry_after_limit)
         return len(stalled)
 
@@ -220,6 +224,7 @@
         )
         if connection is None:
             return False
+        log.info("memory limit: refusing a request being received, %s", connection.describe())
         connection.end_incoming_request(503, self.retry_after_limit)
         return True
 
@@ -230,6 +235,7 @@
         connection = max(stalled, key=lambda c: c.held.size, default=None)
         if connection is None or connection.transport is None:
             return False
+        log.info("memory limit: closing a connection with unread responses, %s", connection.describe())
         self.write_blocked.pop(connection, None)
         connection.transport.abort()
         connection.held.set(0)
@@ -259,20 +265,14 @@
     def dispatch(self, exchange: Exchange) -> None:
         path, query, _ = exchange.target.partition(b"?")
         if path == b"/api":
-            if exchange.connection.is_overflow:
-                exchange.close_after = True
-                exchange.reply(503, retry_after=self.retry_after_limit)
-                return
-            if exchange.connection.is_behind:  # the client may have left: nothing may be sent to a host
-                exchange.reply(503, retry_after=self.retry_after_limit)
-                return
-            if self.budget.is_exceeded:
-                self.budget.shed_counts[ShedStep.NEW_REQUEST] += 1
+            if reason := self._reason_to_refuse(exchange):
+                self.status_log.count(reason)
                 exchange.reply(503, retry_after=self.retry_after_limit)
                 return
             try:
                 request = ParsedRequest(self.parser_settings, exchange.method, exchange.header_values)
             except BadRequest as error:
+                self.status_log.count(Rejection.INVALID)
                 exchange.reject(400, f"{error}\n".encode())
                 return
             # The timeout runs from the request's last byte, which may have arrived before the accept.
@@ -284,6 +284,18 @@
         else:
             exchange.reject(404)
 
+    def _reason_to_refuse(self, exchange: Exchange) -> Rejection | None:
+        """Why a request must be refused before it is looked at, None if it need not."""
+        if exchange.connection.is_overflow:
+            exchange.close_after = True
+            return Rejection.CONNECTION_LIMIT
+        if exchange.connection.is_behind:  # the client may have left: nothing may be sent to a host
+            return Rejection.CLIENT_BEHIND
+        if self.budget.is_exceeded:
+            self.budget.shed_counts[ShedStep.NEW_REQUEST] += 1
+            return Rejection.MEMORY
+        return None
+
     def _sweep(self) -> None:
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now, has_room = time.monotonic(), 2 * len(self.connections) < self.max_connections
@@ -296,6 +308,8 @@
                 connection.last_active_at if connection.closing else connection.write_blocked_since
             )
             if blocked_since is not None and now - blocked_since > WRITE_TIMEOUT_S:
+                self.status_log.count(Rejection.NOT_READ_IN_TIME)
+                log.info("closing a connection whose client does not read, %s", connection.describe())
                 connection.transport.abort()
             elif connection.closing:
                 continue
@@ -317,6 +331,8 @@
                 and now - connection.request_started_at > REQUEST_READ_TIMEOUT_S
                 and not connection.exchanges
             ):
+                self.status_log.count(Rejection.NOT_RECEIVED_IN_TIME)
+                log.info("ending a request not received in time, %s", connection.describe())
                 connection.end_incoming_request(408)  # not received in full, so never dispatched
 
     # Shutdown
