Collect a long list in one buffer, not in a copy for each piece of it

A watch added each piece of a message to an immutable string, so a list of 4 MB in pieces of 500 bytes took 3.8 s of processor time, in which nothing else happens (2,000 pieces 0.27 s, 4,000 0.93 s, 8,000 3.76 s); the limit is 8 MB.

Change: one buffer that grows. The test failed before.

--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -343,7 +343,7 @@
     """One watch: a chunked response of JSON objects, with empty lines as heartbeats between them."""
 
     def __init__(self, owner: Discovery) -> None:
-        self.owner, self.buffer = owner, b""
+        self.owner, self.buffer = owner, bytearray()
         # Whether the response head has come, any of the body, and an invalid message in it.
         self.responded = self.received = self.malformed = False
         self.timed_out = False  # closed because it was silent for too long
@@ -421,7 +421,7 @@
             else:
                 self._apply_message(message)
             position = skip_whitespace(text, message_end)
-        self.partial, self.buffer = position < len(text), text[position:].encode() + unfinished
+        self.partial, self.buffer = position < len(text), bytearray(text[position:].encode()) + unfinished
         self.scanned = self.depth = 0
 
     def _apply_message(self, message: Any) -> None:  # noqa: ANN401
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -22,6 +22,7 @@
 from coralvale import interface as api
 from coralvale.interface import Outcome
 from coralvale.net.client_connection import READ_AHEAD_BYTES, READ_SIZE_BYTES
+from coralvale.net.discovery import Discovery, Watch
 from coralvale.net.message_size import MAX_BODY_BYTES, MAX_FIELDS
 
 MAX_LOOP_HOLD_S = 0.02  # of processor time, for which one message may hold up the event loop
@@ -131,6 +132,19 @@
     run(test())
 
 
+# Guards against a buffer that is copied with each piece of a long list.
+def test_a_long_list_in_short_pieces_is_collected_in_linear_time() -> None:
+    async def test() -> None:
+        watch = Watch(Discovery(("127.0.0.1", 1), (), (), lambda *_: None))
+        watch.owner.watch = watch
+        buffer = watch.buffer
+        for _ in range(1000):
+            watch.on_body(b'{"index":1,')
+        assert watch.buffer is buffer and len(buffer) == 11_000
+
+    run(test())
+
+
 def test_a_response_in_single_byte_chunks_with_trailers_is_passed_on_without_them() -> None:
     body = bytes(range(65, 91)) * 2000
     chunks = b"".join(b"1;x=y\r\n%c\r\n" % byte for byte in body)
