Read at most 16 KB from a host in one turn of the event loop

A test saw 128 KB parsed in one turn.

Change: host connections read into a buffer of 16 KB; when one read fills it, the next follows in another turn. Usual responses take one read, as before. The test failed before.

--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -28,6 +28,7 @@
 from coralvale.net.response import Response, read_response
 
 MAX_OVERHEAD_BYTES = 64 * 1024  # of a response besides its body, with its interim responses
+READ_SIZE_BYTES = 16 * 1024  # read from a connection in one turn of the event loop
 MAX_INTERIM_RESPONSES = 8  # with status 1xx, ahead of the final one
 REUSE_DELAY_S = 0.02  # from a response to the next request: a stray second response may follow some ms later
 IDLE_TIMEOUT_SHARE = 0.8  # of the hosts' idle timeout, after which this side closes an idle connection
@@ -64,10 +65,11 @@
             self.on_end(self, outcome, response)
 
 
-class HostConnection(asyncio.Protocol):
+class HostConnection(asyncio.BufferedProtocol):
     """One connection to a host.
 
-    It returns to its pool unused, or after a complete response to a request that was sent in full.
+    It returns to its pool unused, or after a complete response to a request that was sent in full. At most
+    `READ_SIZE_BYTES` are read in one turn of the event loop, however much a host sends.
     """
 
     def __init__(self, pool: Pool) -> None:
@@ -137,18 +139,33 @@
             self._finish(Outcome.CONNECT_FAILED)
         self._count_held()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.pool.upstreams.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self.attempt is None:  # no request is outstanding
             self.close()
             return
         try:
-            self._parse(data)
+            self._parse(bytes(self.pool.upstreams.read_buffer[:nbytes]))
         except Exception:
             # Any failure to read a response ends its attempt, exactly once, and closes the connection.
             log.exception("cannot read the response of a host")
             self._finish(Outcome.ERROR)
         self._acknowledge()  # once the client has its answer
         self._count_held()
+        if nbytes == READ_SIZE_BYTES:  # there may be more
+            self._read_on_later()
+
+    def _read_on_later(self) -> None:
+        """Lets the event loop go on before more is read."""
+        if self.transport and not self.transport.is_closing():
+            self.transport.pause_reading()
+            self.pool.upstreams.loop.call_soon(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self.transport and not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def received_bytes(self) -> int:
         """Bytes of the response that is being received."""
@@ -388,6 +405,7 @@
         budget: MemoryBudget | None = None,
     ) -> None:
         self.clock, self.connect_timeout, self.max_connections = clock, connect_timeout, max_connections
+        self.read_buffer = memoryview(bytearray(READ_SIZE_BYTES))  # emptied after each read
         self.budget = budget or MemoryBudget(math.inf)  # of all connections, with those of clients
         self.budget.steps[ShedStep.IDLE_HOST_CONNECTION] = self._close_longest_idle
         self.budget.steps[ShedStep.HOST_RESPONSE] = self._give_up_largest_response
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import time
 import tracemalloc
@@ -24,6 +25,7 @@
 from coralvale.net.client_connection import READ_AHEAD_BYTES, READ_SIZE_BYTES
 from coralvale.net.discovery import Discovery, Watch
 from coralvale.net.message_size import MAX_BODY_BYTES, MAX_FIELDS
+from coralvale.net.upstream import READ_SIZE_BYTES as HOST_READ_SIZE_BYTES
 
 MAX_LOOP_HOLD_S = 0.02  # of processor time, for which one message may hold up the event loop
 TRIES = 3  # of which the fastest counts, as other work may fall into one of them
@@ -132,6 +134,24 @@
     run(test())
 
 
+# Guards against a host that sends much at once and holds up the event loop until all of it is read.
+def test_of_a_response_a_bounded_part_is_read_in_one_turn_of_the_event_loop() -> None:
+    async def test() -> None:
+        async with harness() as h:
+            h.send()
+            host = await h.host.next_request()
+            (connection,) = h.upstreams.connections
+            read, largest = 0, 0
+            host.reply(CHUNKED_RESPONSE + b"1\r\nx\r\n" * (ENDLESS_BYTES // 10))
+            while h.ended.empty() and read < ENDLESS_BYTES // 4:
+                await asyncio.sleep(0)
+                received = connection.size.received
+                largest, read = max(largest, received - read), received
+            assert 0 < largest <= 2 * HOST_READ_SIZE_BYTES  # the turns of the test are not those of the read
+
+    run(test())
+
+
 # Guards against a buffer that is copied with each piece of a long list.
 def test_a_long_list_in_short_pieces_is_collected_in_linear_time() -> None:
     async def test() -> None:
