Take what the process needs for other things off the budget for peers

The budget was set once, from the resident memory at the start. A process that grows afterwards, by a list of some thousand hosts for example, would hold as much for its peers as before and pass its limit; this was not seen, it follows from the budget as it stands since.

Change: each second the resident memory beyond what is counted (the start, the most that was held for peers, customers' records) comes off the budget, which stays at 4 MB at least.

--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -83,6 +83,11 @@
             api.CounterReply: self._on_counter_reply,
         }
 
+    @property
+    def customer_count(self) -> int:
+        """How many customers' records are kept."""
+        return len(self.admission.restrictors)
+
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         self.actions = []
         if self.admission.started_at is None:
--- a/coralvale/net/memory.py
+++ b/coralvale/net/memory.py
@@ -81,6 +81,33 @@
             self._is_shedding = False
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryShares:
+    """How the memory that the process itself leaves is divided."""
+
+    peers_bytes: float
+    max_customers: int
+
+
+class MemoryGuard:
+    """Lowers the budget for peers by what the process takes beyond all that is counted.
+
+    That is, for example, a list of hosts that has grown. Memory that was held once counts as held: the
+    allocator keeps it for further use.
+    """
+
+    def __init__(self, budget: MemoryBudget, shares: MemoryShares, resident: int) -> None:
+        """`resident`: the bytes that the process takes without any peers."""
+        self.budget, self.shares, self.resident_at_start = budget, shares, resident
+
+    def update(self, resident: int, customers: int) -> None:
+        """Sets the limit from the resident memory and the number of customers' records; 0 bytes: unknown."""
+        counted = self.resident_at_start + self.budget.peak + customers * CUSTOMER_BYTES
+        excess = max(0, resident - counted)
+        self.budget.limit = max(MIN_BUDGET_BYTES, self.shares.peers_bytes - excess)
+        self.budget.change(0)
+
+
 class HeldBytes:
     """What one connection holds, as a part of a budget."""
 
@@ -104,14 +131,6 @@
         return 0
 
 
-@dataclass(frozen=True, slots=True)
-class MemoryShares:
-    """How the memory that the process itself leaves is divided."""
-
-    peers_bytes: float
-    max_customers: int
-
-
 def share_out(limit_mb: float, resident: int) -> MemoryShares:
     """Divides what a process that may use `limit_mb` MiB and takes `resident` bytes itself leaves."""
     free = max(0.0, MAX_USED_SHARE * limit_mb * MEBIBYTE - resident)
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -24,7 +24,7 @@
 from coralvale.net.config import Address, Config, HostInstance
 from coralvale.net.counter import CounterClient
 from coralvale.net.discovery import Discovery, Endpoint
-from coralvale.net.memory import MEBIBYTE, MemoryBudget, resident_bytes, share_out
+from coralvale.net.memory import MEBIBYTE, MemoryBudget, MemoryGuard, resident_bytes, share_out
 from coralvale.net.request import ParsedRequest
 from coralvale.net.request_ids import RecentIds
 from coralvale.net.response import Response
@@ -50,6 +50,7 @@
 FLUSH_S = 0.1  # for the last responses to be sent
 DRAIN_POLL_S = 0.05  # between checks whether the drain is complete
 MAX_EXTRA_POLLS = 4  # after FLUSH_S, if responses are not yet sent; both together stay within KILL_MARGIN_S
+MEMORY_CHECK_INTERVAL_S = 1.0  # between two looks at the resident memory
 STATUS_INTERVAL_S = 10.0  # between two lines in the log on what is held and what was turned away
 DEFAULT_TIMER_DELAY_S = 1.0  # for setting a timer again whose delay is not known
 RECENT_ID_PERIOD_S = 30.0  # for which the id of a request that may have run is not accepted again
@@ -97,8 +98,10 @@
         self.config, self.settings = config, config.settings
         self.clock = clock or Clock()
         self.loop = asyncio.get_running_loop()
-        shares = share_out(config.memory_mb, resident_bytes())
+        resident = resident_bytes()
+        shares = share_out(config.memory_mb, resident)
         self.budget = MemoryBudget(shares.peers_bytes)
+        self.memory_guard = MemoryGuard(self.budget, shares, resident)
         self.max_customers = shares.max_customers
         self.gateway = Gateway(config.settings, config.seed, shares.max_customers)
         self.pending: dict[str, PendingRequest] = {}
@@ -156,6 +159,7 @@
         self.server.start()
         self.discovery.on_response = self._on_discovery_response
         self.loop.call_later(READY_TIMEOUT_S, self._set_ready)
+        self.memory_timer = self.loop.call_later(MEMORY_CHECK_INTERVAL_S, self._check_memory)
         self.status_timer = self.loop.call_later(STATUS_INTERVAL_S, self._log_status)
         log.info(
             "started: %g MB of memory, %.1f MB of it for peers, %d customers, %d client connections",
@@ -165,6 +169,11 @@
             self.server.max_connections,
         )
 
+    def _check_memory(self) -> None:
+        """Takes what the process needs for other things off the budget for peers."""
+        self.memory_timer = self.loop.call_later(MEMORY_CHECK_INTERVAL_S, self._check_memory)
+        self.memory_guard.update(resident_bytes(), self.gateway.customer_count)
+
     def _log_status(self) -> None:
         """Logs what the process holds, and what it has turned away or given up since the last time."""
         self.status_timer = self.loop.call_later(STATUS_INTERVAL_S, self._log_status)
@@ -177,6 +186,7 @@
             "lingering": len(server.lingering),
             "host connections": self.upstreams.open_count,
             "requests": len(self.pending),
+            "customers": self.gateway.customer_count,
             "peers MB": round(self.budget.held / MEBIBYTE, 2),
             "peak MB": round(self.budget.peak / MEBIBYTE, 2),
             "of MB": round(self.budget.limit / MEBIBYTE, 2),
@@ -217,6 +227,7 @@
     def close(self) -> None:
         """Closes all sockets immediately."""
         self.status_timer.cancel()
+        self.memory_timer.cancel()
         self.discovery_task.cancel()
         self.server.close()
         self.upstreams.close()
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -228,6 +228,8 @@
 class ScriptedGateway:
     """Replaces the decision module: records events and answers each as `on` has set for its type."""
 
+    customer_count = 0
+
     def __init__(self) -> None:
         self.events: list[api.Event] = []
         self.responses: dict[type, Callable[[Any], list[api.Action]]] = {}
@@ -261,6 +263,11 @@
         self.clients.append(client)
         return client
 
+    def set_memory_limit(self, limit: float) -> None:
+        """Sets the bytes that may be held for peers, from now on."""
+        self.node.memory_timer.cancel()  # it would set the limit from the memory of the test's process
+        self.node.budget.limit = limit
+
     async def ask(self, data: bytes) -> Message:
         """Sends a request on a new connection and returns the response."""
         return await (await self.client()).ask(data)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -29,6 +29,7 @@
     MIN_CUSTOMERS,
     HeldBytes,
     MemoryBudget,
+    MemoryGuard,
     MemoryShares,
     ShedStep,
     resident_bytes,
@@ -102,12 +103,32 @@
     run(test())
 
 
+# Guards against a budget that stays as it was at the start while the process itself has grown.
+def test_what_the_process_takes_for_other_things_is_taken_off_the_budget() -> None:
+    shares = MemoryShares(100 * MEBIBYTE, max_customers=10_000)
+    budget = MemoryBudget(shares.peers_bytes)
+    guard = MemoryGuard(budget, shares, resident=20 * MEBIBYTE)
+    held = HeldBytes(budget)
+    held.set(30 * MEBIBYTE)
+    guard.update(resident=50 * MEBIBYTE, customers=0)
+    assert budget.limit == 100 * MEBIBYTE
+    held.set(0)
+    guard.update(resident=50 * MEBIBYTE, customers=0)  # the allocator has kept what was held
+    assert budget.limit == 100 * MEBIBYTE
+    guard.update(resident=65 * MEBIBYTE + 1000 * CUSTOMER_BYTES, customers=1000)
+    assert budget.limit == 85 * MEBIBYTE
+    guard.update(resident=500 * MEBIBYTE, customers=0)
+    assert budget.limit == MIN_BUDGET_BYTES
+    guard.update(resident=0, customers=0)  # not known
+    assert budget.limit == 100 * MEBIBYTE
+
+
 # Guards against a limit on each request alone, which hundreds of connections exceed together.
 def test_beyond_the_limit_the_largest_half_received_request_is_refused_and_sound_ones_are_served() -> None:
     async def test() -> None:
         host = await FakeServer(http_response(body=b"served")).start()
         async with running_gateway(host_entry("s-1", host.port), real_module=True) as w:
-            w.node.budget.limit = 150_000
+            w.set_memory_limit(150_000)
             small = await send_half(w, "small", 10_000)
             large = await send_half(w, "large", 60_000)
             assert (await w.ask(request("r1"))).body == b"served"
@@ -132,14 +153,14 @@
             client, busy = await w.client(), await w.client()
             busy.send(request("held", "write", body=b"x" * BODY_BYTES))
             await until(lambda: w.node.pending)
-            w.node.budget.limit = BODY_BYTES
+            w.set_memory_limit(BODY_BYTES)
             refused = await client.ask(request("r1"))
             assert refused.status == 503 and refused.headers[b"retry-after"] == b"0.500"
             assert list(w.node.pending) == ["held"]
             assert w.node.budget.shed_counts[ShedStep.NEW_REQUEST] == 1
             newer = await w.ask(request("r1"))  # on a connection that is opened now
             assert newer.status == 503 and newer.headers[b"connection"] == b"close"
-            w.node.budget.limit = MEBIBYTE
+            w.set_memory_limit(MEBIBYTE)
             (await w.client()).send(request("r2"))
             await until(lambda: "r2" in w.node.pending)
 
@@ -161,7 +182,7 @@
                 if w.node.server.write_blocked:
                     break
             (blocked,) = w.node.server.write_blocked
-            w.node.budget.limit = w.node.budget.held - 1
+            w.set_memory_limit(w.node.budget.held - 1)
             w.node.budget.change(0)
             await until(lambda: blocked not in w.node.server.connections)
             assert (await idle.ask(request("last"))).status == 200
@@ -181,7 +202,7 @@
             w.script.on(api.AttemptDone, lambda e: [] if e.request_done else [api.Fail(e.request)])
             head = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n"
             asking: list[asyncio.Task[Any]] = []
-            w.node.budget.limit = 150_000
+            w.set_memory_limit(150_000)
             for number, size in enumerate((30_000, 59_000, 50_000)):
                 asking.append(asyncio.create_task(w.ask(request(f"r{number}"))))
                 arrived = await host.next_request()
@@ -250,7 +271,7 @@
             for number, client in enumerate(clients):
                 assert (await client.ask(request(f"r{number}"))).status == 503
             assert w.node.budget.held >= 3 * CLIENT_CONNECTION_BYTES
-            w.node.budget.limit = w.node.budget.held - 1
+            w.set_memory_limit(w.node.budget.held - 1)
             w.node.budget.change(0)
             assert await clients[0].closed_by_gateway()  # idle for longest
             assert len(w.node.server.connections) == 2 and not w.node.budget.is_exceeded
--- a/tests/test_status_log.py
+++ b/tests/test_status_log.py
@@ -40,7 +40,7 @@
             slow = await w.client()
             slow.send(request("r3")[:-2])
             await until(lambda: w.node.server.receiving)
-            w.node.budget.limit = 1.0
+            w.set_memory_limit(1.0)
             slow.send(b"\r")
             assert (await slow.receive()).status == 503
             await until(lambda: "shed incoming requests 1" in caplog.text)
