Take the whole wait for a turn off a request's time

For a connection that always has something waiting, the wait was that of its oldest byte, however long ago that was parsed.

Change: ArrivalTimes records when the waiting bytes were received, to 10 ms, and the wait is that of the last byte of the part being parsed. A request being received that is given up leaves the list of those in any case.

--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from coralvale.net.arrival_times import ArrivalTimes
 from coralvale.net.memory import CLIENT_CONNECTION_BYTES, REQUEST_BYTES, HeldBytes
 from coralvale.net.message_size import MessageSize, is_body_too_large
 
@@ -132,7 +133,8 @@
         self.has_sent_request = False  # whether a request has been received in full
         self.size = MessageSize(MAX_OVERHEAD_BYTES)  # since the last complete request
         self.unparsed = bytearray()  # received, not yet parsed
-        self.unparsed_since = 0.0  # when the first of it was received, valid if there is any
+        self.arrival_times = ArrivalTimes()  # of what is not parsed yet
+        self.parsing_delay = 0.0  # s for which what is being parsed has waited here
         # Whether so much was received that reading has paused. Until all of it is parsed and nothing more is
         # in the kernel, the client's end may lie unseen behind it.
         self.is_behind = False
@@ -165,10 +167,9 @@
         if not self.server.turns and not self.unparsed and nbytes <= self._turn_size() and self._may_parse():
             self._process(data)
             return
-        if not self.unparsed:
-            self.unparsed_since = time.monotonic()
-            self.server.idle_connections.pop(self, None)
+        self.server.idle_connections.pop(self, None)
         self.unparsed += data
+        self.arrival_times.add(time.monotonic(), nbytes)
         self._update_reading()
         if self._may_parse():
             self.server.turns.add(self)
@@ -178,10 +179,11 @@
         """Parses and dispatches a part of what waits; returns whether it can go on with more."""
         if not (self.unparsed and self._may_parse()):
             return False
-        size = self._turn_size()
-        data = bytes(self.unparsed[:size])
-        del self.unparsed[:size]
+        data = bytes(self.unparsed[: self._turn_size()])
+        del self.unparsed[: len(data)]
+        self.parsing_delay = time.monotonic() - self.arrival_times.take(len(data))
         self._process(data)
+        self.parsing_delay = 0.0
         return bool(self.unparsed) and self._may_parse()
 
     def _turn_size(self) -> int:
@@ -236,10 +238,6 @@
         """Bytes of the request that is being received."""
         return self.size.overhead + self.body.__alloc__()
 
-    def parsing_delay(self) -> float:
-        """Seconds, at most, that the request being dispatched has waited here to be parsed."""
-        return time.monotonic() - self.unparsed_since if self.unparsed else 0.0
-
     def _parse(self, data: bytes) -> None:
         self.size.add_received(data)
         try:
@@ -255,7 +253,7 @@
             return
         ends = self.error_status or self.closing
         if ends:
-            self.unparsed.clear()
+            self._drop_unparsed()
         waiting = len(self.unparsed)
         if not self.server.budget.has_room:
             is_full = waiting > 0
@@ -273,6 +271,10 @@
             self.reading_paused = False
             self.transport.resume_reading()
 
+    def _drop_unparsed(self) -> None:
+        self.unparsed.clear()
+        self.arrival_times.clear()
+
     def _reply_error(self) -> None:
         """Adds the error response as the last one and reads no more: 60 MB of body may still follow."""
         if self.error_replied:
@@ -298,6 +300,7 @@
     def end_incoming_request(self, status: int, retry_after: float = 0.0) -> None:
         """Answers a request that is not received in full, after earlier ones, and reads no more."""
         self.error_status, self.error_retry_after = status, retry_after
+        self._end_incoming()
         self._reply_error()
         self._update_reading()
         self.count_held()
@@ -442,7 +445,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.remove(self)
-        self.unparsed.clear()
+        self._drop_unparsed()
         self.body = bytearray()
         self.held.set(0)
         del self.parser  # it refers back here: freed now, not at some later garbage collection
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -276,7 +276,7 @@
                 exchange.reject(400, f"{error}\n".encode())
                 return
             # The timeout runs from the request's last byte, which may have arrived before the accept.
-            request.timeout -= exchange.connection.backlog_wait + exchange.connection.parsing_delay()
+            request.timeout -= exchange.connection.backlog_wait + exchange.connection.parsing_delay
             exchange.connection.backlog_wait = 0.0
             self.handler.handle_request(exchange, request)
         elif path == b"/up" and exchange.method in (b"GET", b"HEAD"):
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -8,6 +8,7 @@
 from net_helpers import ManualClock, host_entry, request, run, running_gateway, until
 
 from coralvale import interface as api
+from coralvale.net.arrival_times import ArrivalTimes
 from coralvale.net.client_connection import (
     MAX_PIPELINED_REQUESTS,
     READ_AHEAD_BYTES,
@@ -17,6 +18,7 @@
 from coralvale.net.turns import MAX_LOOP_HOLD_S, TurnQueue
 
 UP_REQUEST = b"GET /up HTTP/1.1\r\n\r\n"
+MAX_REAL_TIME_S = 0.4  # for which a test may be held up, less than the wait that it looks for
 
 
 class Worker:
@@ -100,3 +102,42 @@
             assert len(w.script.received(api.Request)) == count
 
     run(test())
+
+
+def test_the_time_of_each_part_is_that_of_its_arrival_to_a_hundredth_of_a_second() -> None:
+    times = ArrivalTimes()
+    times.add(1.0, 100)
+    times.add(1.009, 50)
+    times.add(2.0, 10)
+    assert times.take(120) == 1.0
+    assert times.take(30) == 1.0
+    assert times.take(5) == 2.0
+    times.add(3.0, 1)
+    assert times.take(6) == 3.0
+    times.add(4.0, 1)
+    times.clear()
+    times.add(5.0, 1)
+    assert times.take(1) == 5.0
+
+
+# Guards against hosts that are told of more time than the client has, as its request waited to be parsed.
+def test_the_wait_for_a_turn_counts_against_the_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = ManualClock()
+
+    async def test() -> None:
+        async with running_gateway() as w:
+            client = await w.client()
+            connections = w.node.server.connections
+            await until(lambda: connections and all(c.transport for c in connections))
+            (connection,) = connections
+            before = w.node.clock.now()
+            receive(connection, UP_REQUEST * (READ_SIZE_BYTES // len(UP_REQUEST)))
+            receive(connection, request("r1", X_Timeout="2"))
+            clock.now += 0.5  # before its turn
+            await until(lambda: w.script.received(api.Request))
+            (event,) = w.script.received(api.Request)
+            assert event.expires_at - before <= 1.5 + MAX_REAL_TIME_S
+            client.close()
+
+    clock.install(monkeypatch)
+    run(test())
