Free a connection that ended while a request was being received

Found with 400 floods at once that the gateway ends at their first request (GET /x): private memory 35 MB with a limit of 32, where 3.5 MB were counted at the most. 2,365 ended connections were still there.

Cause: the request that is being received refers to its connection, and the other way round.

Change: a connection drops the request as it ends. Two cases of the test with the collector off (receiving, rejected) and the test of 400 floods failed before.

--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -446,10 +446,12 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.remove(self)
         self._drop_unparsed()
-        self.body = bytearray()
         self.held.set(0)
-        del self.parser  # it refers back here: freed now, not at some later garbage collection
         self._abandon_requests()
+        # These refer back here: freed now, not at some later garbage collection.
+        self._end_incoming()
+        self.completed.clear()
+        del self.parser
 
     def _abandon_requests(self) -> None:
         """Tells the handler that the client no longer waits for the unanswered requests, and drops them."""
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -70,6 +70,11 @@
     check_answers(play(tmp_path, kind, 1))
 
 
+# Guards against the memory of connections that end and come anew by the hundreds, at full speed.
+def test_hundreds_of_floods_do_not_take_a_gateway_past_its_memory(tmp_path: Path) -> None:
+    check_answers(play(tmp_path, Kind.FLOOD_UNKNOWN_PATH, 400))
+
+
 # Guards against a customer's record kept for each new name, and against the time that they all take.
 @pytest.mark.parametrize(("connections", "memory_mb"), [(1, MEMORY_MB), (8, LARGE_MEMORY_MB)])
 def test_a_flood_of_new_customers_keeps_no_other_client_waiting(
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -241,7 +241,15 @@
 
 
 # Guards against ended connections kept, by a cycle of references, until the next full garbage collection.
-def test_an_ended_connection_is_freed_without_garbage_collection() -> None:
+@pytest.mark.parametrize(
+    "more",
+    [
+        pytest.param(b"", id="idle"),
+        pytest.param(half_request("r2"), id="receiving"),
+        pytest.param(b"GET /no HTTP/1.1\r\n\r\n" * 50, id="rejected"),
+    ],
+)
+def test_an_ended_connection_is_freed_without_garbage_collection(more: bytes) -> None:
     async def test() -> None:
         host = await FakeServer(http_response()).start()
         async with running_gateway(host_entry("s-1", host.port)) as w:
@@ -250,6 +258,8 @@
             assert (await client.ask(request("r1"))).status == 200
             ended: list[weakref.ref[Any]] = [weakref.ref(each) for each in w.node.server.connections]
             ended += [weakref.ref(each) for each in w.node.upstreams.connections]
+            client.send(more)
+            await until(lambda: not more or not w.node.server.idle_connections)
             gc.collect()
             gc.disable()
             try:
