--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -24,7 +24,8 @@
 from coralvale.net.config import Address, Config, HostInstance
 from coralvale.net.counter import CounterClient
 from coralvale.net.discovery import Discovery, Endpoint
-from coralvale.net.memory import MEBIBYTE, MemoryBudget, MemoryGuard, resident_bytes, share_out
+from coralvale.net.memory import MemoryBudget, resident_bytes, share_out
+from coralvale.net.monitor import Monitor
 from coralvale.net.request import ParsedRequest
 from coralvale.net.request_ids import RecentIds
 from coralvale.net.response import Response
@@ -50,7 +51,6 @@
 FLUSH_S = 0.1  # for the last responses to be sent
 DRAIN_POLL_S = 0.05  # between checks whether the drain is complete
 MAX_EXTRA_POLLS = 4  # after FLUSH_S, if responses are not yet sent; both together stay within KILL_MARGIN_S
-MEMORY_CHECK_INTERVAL_S = 1.0  # between two looks at the resident memory
 STATUS_INTERVAL_S = 10.0  # between two lines in the log on what is held and what was turned away
 DEFAULT_TIMER_DELAY_S = 1.0  # for setting a timer again whose delay is not known
 RECENT_ID_PERIOD_S = 30.0  # for which the id of a request that may have run is not accepted again
@@ -101,8 +101,6 @@
         resident = resident_bytes()
         shares = share_out(config.memory_mb, resident)
         self.budget = MemoryBudget(shares.peers_bytes)
-        self.memory_guard = MemoryGuard(self.budget, shares, resident)
-        self.max_customers = shares.max_customers
         self.gateway = Gateway(config.settings, config.seed, shares.max_customers)
         self.pending: dict[str, PendingRequest] = {}
         # Of requests that may have run and must not run twice: a client that has left may send its id again.
@@ -122,6 +120,7 @@
         self.server = Server(
             config.listen, config.settings, self, share - overflow, overflow, self.budget, self.status_log
         )
+        self.monitor = Monitor(self.budget, shares, resident, self.status_log, self.server)
         self.upstreams = Upstreams(
             self.clock,
             config.connect_timeout,
@@ -159,43 +158,12 @@
         self.server.start()
         self.discovery.on_response = self._on_discovery_response
         self.loop.call_later(READY_TIMEOUT_S, self._set_ready)
-        self.memory_timer = self.loop.call_later(MEMORY_CHECK_INTERVAL_S, self._check_memory)
-        self.status_timer = self.loop.call_later(STATUS_INTERVAL_S, self._log_status)
-        log.info(
-            "started: %g MB of memory, %.1f MB of it for peers, %d customers, %d client connections",
-            self.config.memory_mb,
-            self.budget.limit / MEBIBYTE,
-            self.max_customers,
-            self.server.max_connections,
+        self.monitor.start(
+            count_customers=lambda: self.gateway.customer_count,
+            count_requests=lambda: len(self.pending),
+            count_host_connections=lambda: self.upstreams.open_count,
         )
 
-    def _check_memory(self) -> None:
-        """Takes what the process needs for other things off the budget for peers."""
-        self.memory_timer = self.loop.call_later(MEMORY_CHECK_INTERVAL_S, self._check_memory)
-        self.memory_guard.update(resident_bytes(), self.gateway.customer_count)
-
-    def _log_status(self) -> None:
-        """Logs what the process holds, and what it has turned away or given up since the last time."""
-        self.status_timer = self.loop.call_later(STATUS_INTERVAL_S, self._log_status)
-        server = self.server
-        held = {
-            "client connections": len(server.connections),
-            "idle": len(server.idle_connections),
-            "receiving": len(server.receiving),
-            "not reading": len(server.write_blocked),
-            "lingering": len(server.lingering),
-            "host connections": self.upstreams.open_count,
-            "requests": len(self.pending),
-            "customers": self.gateway.customer_count,
-            "peers MB": round(self.budget.held / MEBIBYTE, 2),
-            "peak MB": round(self.budget.peak / MEBIBYTE, 2),
-            "of MB": round(self.budget.limit / MEBIBYTE, 2),
-            "resident MB": round(resident_bytes() / MEBIBYTE, 1),
-        }
-        for line in self.status_log.lines(held, self.budget.shed_counts):
-            log.info("%s", line)
-        self.budget.shed_counts.clear()
-
     def _on_discovery_response(self) -> None:
         self.loop.call_later(FIRST_MESSAGE_WAIT_S, self._set_ready)
 
@@ -226,8 +194,7 @@
 
     def close(self) -> None:
         """Closes all sockets immediately."""
-        self.status_timer.cancel()
-        self.memory_timer.cancel()
+        self.monitor.close()
         self.discovery_task.cancel()
         self.server.close()
         self.upstreams.close()
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -265,7 +265,7 @@
 
     def set_memory_limit(self, limit: float) -> None:
         """Sets the bytes that may be held for peers, from now on."""
-        self.node.memory_timer.cancel()  # it would set the limit from the memory of the test's process
+        self.node.monitor.memory_timer.cancel()  # it would set the limit from the test's own memory
         self.node.budget.limit = limit
 
     async def ask(self, data: bytes) -> Message:
