--- a/review/8/case.py
+++ b/review/8/case.py
@@ -35,8 +35,11 @@
 CEILING_RATE, CEILING_BURST = 47.7, 133.6  # 1.99 times the quota
 TOLERANCE = 13.36  # 10%, more than the largest request
 UNITS, MAX_UNITS = 2, 6
-OTHERS, OTHER_RATE = 40, 6.0  # accounts on `pro`, each with so many requests of one unit a second
-PUSH_RATE, PUSH_S = 146.0 * UNITS, 6.5  # units a second, s: 61% on top of all other requests
+OTHERS, OTHER_RATE = 80, 3.0  # accounts on `pro`, each with so many requests of UNITS a second
+PUSH_RATE, PUSH_S = (
+    146.0 * UNITS,
+    6.5,
+)  # units a second, s: 61% on top of all others, in requests and in units
 CALM_RATE = 0.25 * RATE
 SPIKE, SPIKE_BEFORE_S = 7, 2.65  # requests in 0.3 s through one gateway, s before the push
 METER_S, METER_LATE_S = 0.5, 1.3
@@ -83,7 +86,9 @@
         store = stores.get(customer)
         if store is None:
             await asyncio.sleep(SERVICE_S)
-            writer.write(response(200, arrival.id.encode(), Usage_Percent=str(round(100 * OTHER_RATE / 9))))
+            writer.write(
+                response(200, arrival.id.encode(), Usage_Percent=str(round(100 * OTHER_RATE * UNITS / 9)))
+            )
             return True
         store.take(arrival.id, UNITS)
         record.add(f"{arrival.host.name} runs {arrival.id}, store {store.level:.1f}")
@@ -124,7 +129,7 @@
         async def ask(customer: int, number: int) -> None:
             id_, entry = f"{customer}-{number}", number % GATEWAYS
             is_account = customer == account
-            plan, units = ("enterprise", UNITS) if is_account else ("pro", 1)
+            plan, units = ("enterprise", UNITS) if is_account else ("pro", UNITS)
             data = request(id_, "single-frame", plan, customer, units, 1.5, GATEWAYS)
             if is_account:
                 record.add(f"client sends {id_} to gateway {entry}")
