Begin a new counter entry of a ceiling's pool as a full one, at every gateway and at any time

Cause: a new entry's total is 0, and SharedBucket.fill_before took that for a bucket that was empty when the entry came into use, so a used-up pool gave its burst again. _correct_underflow fills a new entry only if its computed fill is far below 0, which it is not just after a replacement, and only for the call that meets a total of 0; of two that cross, the second filled up to 0, and the first could be undone. Excluded: the even shares (tokens spent as they should be), late and failed calls (the case has none), the hand-over between share and pool.

Change: coralvale/shared_bucket.py. A pool's total tells a fill only from an offset on. The first call that meets a total below it initializes the entry: it adds the offset and what makes the pool full then. Until that has arrived no gateway admits by the pool; if such calls cross, all but the first are taken back, and a fill leaves out what they add meanwhile. A gateway makes one fill-up of an entry at a time. Units of a request that was not sent are taken back from the entry that has them, not from its successor, which they would empty.

Why it holds: the new entry is as full as the worst case allows (the choice of the two; the old fill is not carried over, as a flush leaves none and the read of a second entry may be late), and no moment, order of calls or flush makes a total without the offset look like an empty pool.

The accounts of units balance as before. The quota's entry still gives a new burst: a price, as one that began full would refuse calm customers.

tests/test_counter.py: the total of a pool without room has the offset now; what is asserted is the same.

--- a/coralvale/reservation.py
+++ b/coralvale/reservation.py
@@ -25,6 +25,7 @@
     # request out, the calls of similar requests add these units, on average, as extrapolated units.
     shared_units: float = 0.0
     pool_units: float = 0.0  # likewise for the ceiling's pool, whose calls are not sampled
+    pool_entry: int | None = None  # name of the pool's counter entry that has these units
     local_units: float = 0.0  # by which the request has increased the local bucket's fill
     ceiling_tokens_taken: float = 0.0  # from this gateway's share of the ceiling
     max_ceiling_tokens: float = 0.0  # the most that the share could hold when they were taken
@@ -55,19 +56,20 @@
             return
         self.released = True
         restrictor = self.restrictor
-        restrictor.unreported_units -= self.shared_units  # taken back with the next call
-        restrictor.unreported_pool_units -= self.pool_units
+        restrictor.queue_for_next_call(-self.shared_units)  # taken back with the next call
+        restrictor.queue_for_next_call(-self.pool_units, self.pool_entry)
         restrictor.refund(self.request.units if self.local_units else 0.0, self.local_units)
         restrictor.refund_ceiling(self.ceiling_tokens_taken, self.max_ceiling_tokens)
 
-    def handle_call_not_added(self, amount: float, is_pool: bool) -> None:
+    def handle_call_not_added(self, amount: float, pool_entry: int | None) -> None:
         """Handles a call for this request that was certainly not added to its counter entry.
 
         What the call carried besides the request's own units is queued for the next call. If the request has
         been released, `release` has queued the removal of its own units, so they are queued as well.
         """
+        is_pool = pool_entry is not None
         carried = amount if self.released else amount - (self.pool_units if is_pool else self.shared_units)
-        self.restrictor.queue_for_next_call(carried, is_pool)
+        self.restrictor.queue_for_next_call(carried, pool_entry)
         self.clear_counter_units(is_pool)
 
     def clear_counter_units(self, is_pool: bool) -> None:
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -22,6 +22,7 @@
 from functools import cache
 
 from coralvale import interface as api
+from coralvale.shared_bucket import UNDERFLOW_TOLERANCE
 
 USAGE_EWMA_WEIGHT = 0.5  # weight of the newest value in the averages of use; damps single outliers
 RATE_UPDATE_INTERVAL_S = 1.0  # interval between updates of the leak rate
@@ -43,7 +44,6 @@
 # other words if such a share holds fewer requests than the inverse of this.
 UNDERSAMPLED_UNITS_RATIO = 2.0
 WIDE_SET_MIN_GATEWAYS = 8  # with so many entry gateways, each sees little of a customer's traffic
-UNDERFLOW_TOLERANCE = 0.25  # a shared bucket's fill may be negative by this share of its burst
 MAX_USAGE = 8.0  # highest usage reading, as a multiple of the plan's rate; larger ones say nothing more
 POOLED_CEILING_SHARE = 0.4  # pooled share of a wide set's ceiling; the gateways divide the rest evenly
 RECENT_USAGE_MAX_AGE_S = 15.0  # age up to which a usage reading still shows whether demand is light
@@ -93,7 +93,9 @@
         # if the counter is congested, but at most until the counter entry is replaced.
         self.shared_blocked_until = -math.inf
         self.pool_blocked_until = -math.inf  # until then the ceiling's pool is not asked, as it was full
-        self.unreported_pool_units = 0.0  # like unreported_units, for the pool
+        # Like unreported_units, for the pool, by the name of the counter entry that has the units. An entry
+        # that has replaced it must not get them, as it knows nothing of the requests that they are of.
+        self.unreported_by_pool_entry: dict[int, float] = {}
         # A restart must not refill the ceiling, so its tokens start at zero when the gateway starts.
         self.ceiling_tokens = min(self.unpooled_ceiling_burst, self.unpooled_ceiling_rate * (now - born))
 
@@ -280,12 +282,24 @@
         self.unreported_units = min(before + units, max(before, self.plan.burst))
         return self.unreported_units - before
 
-    def queue_for_next_call(self, units: float, is_pool: bool) -> None:
-        """Queues units for the next call to the shared bucket, or to the pool of the ceiling."""
-        if is_pool:
-            self.unreported_pool_units += units
-        else:
+    def queue_for_next_call(self, units: float, pool_entry: int | None = None) -> None:
+        """Queues units for the next call to the shared bucket, or to an entry of the ceiling's pool."""
+        if pool_entry is None:
             self.unreported_units += units
+        elif due := units + self.unreported_by_pool_entry.pop(pool_entry, 0.0):
+            self.unreported_by_pool_entry[pool_entry] = due
+
+    def take_unreported_units(self, pool_entry: int | None = None) -> float:
+        """Takes all units out of the queue for the shared bucket, or for an entry of the ceiling's pool."""
+        if pool_entry is not None:
+            return self.unreported_by_pool_entry.pop(pool_entry, 0.0)
+        units, self.unreported_units = self.unreported_units, 0.0
+        return units
+
+    @property
+    def unreported_pool_units(self) -> float:
+        """Units queued for the pool, over all of its counter entries."""
+        return sum(self.unreported_by_pool_entry.values())
 
     def update_rate(self, now: float) -> None:
         """Sets the leak rate to the plan's rate times this gateway's share of the customer's metered use.
--- a/coralvale/shared_quota.py
+++ b/coralvale/shared_quota.py
@@ -9,16 +9,10 @@
 Otherwise another call takes the request's own units back. A customer about whose requests the counter is
 asked is called counted; if it is asked about a part of them only, those are called sampled.
 
-Counter entries are rotated: each serves a customer for a fixed time and is then replaced by another, with an
-empty bucket. The computed leak goes on while the bucket is empty, so the computed fill can become negative.
-A customer that has been idle must not get much more than a burst, so once the fill is below a limit, a
-fill-up call raises it to 0.
-
 Another counter entry holds the pool of a customer's ceiling. It serves those gateways that receive more of
-the customer's requests than their even share of the ceiling admits. If the fill of a new entry of a pool is
-below that limit at its first call, the fill-up call fills the bucket: neither an entry that the counter has
-lost nor a late first call after a rotation may refill the ceiling. Soon after a rotation, the fill is about 0
-and is not corrected.
+the customer's requests than their even share of the ceiling admits. Counter entries are rotated: each serves
+for a fixed time and is then replaced by another. For a quota the next one begins with an empty bucket, for a
+pool with a full one; see coralvale/shared_bucket.py.
 """
 
 from __future__ import annotations
@@ -26,23 +20,19 @@
 import math
 import random
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from coralvale import interface as api
 from coralvale.reservation import Reservation
-from coralvale.restrictor import UNDERFLOW_TOLERANCE, Restrictor
+from coralvale.restrictor import Restrictor
+from coralvale.shared_bucket import COUNTER_ENTRY_ROTATION_S, SharedBucket
 
 COUNTER_ENTRY_TTL_S = 60.0  # time for which the counter keeps an entry; the longest that it allows
-# Time for which a counter entry serves. The next starts empty, with a full burst to use, but a pool may be
-# filled up then, see `SharedQuota._correct_underflow`.
-COUNTER_ENTRY_ROTATION_S = 50.0
 ROTATION_PHASES = 97  # points in the rotation time over which the replacements of entries are spread
 # In counter timeouts: the time that a request must have left for the counter to be asked, and the age of a
 # call after which its reply is taken to be lost.
 MIN_TIME_LEFT_IN_TIMEOUTS = 4.0
 LOST_REPLY_AGE_IN_TIMEOUTS = 2.0
-# A fill-up is undone if the underflow that it met was below this share of UNDERFLOW_TOLERANCE.
-UNDO_FILL_UP_THRESHOLD = 0.5
 INITIAL_COVERAGE = 0.75  # below 1, as all gateways may start at once
 COVERAGE_ALL_CUSTOMERS = 1.0  # coverage at which all customers of at least the mean price are counted
 COVERAGE_ALL_REQUESTS = 2.0  # the highest coverage: the counter is asked about every small request, too
@@ -64,30 +54,9 @@
 MEAN_PRICE_EWMA_WEIGHT = 0.05  # weight of the newest request in the mean price
 MIN_DELAY_DRIFT_PER_S = 0.01  # share by which the lowest delay seen is raised, as the counter may have moved
 MAX_CALL_UNITS = 1e9  # the most that one call may add or take back; the counter rejects more
-NEW_ENTRY_TOLERANCE = 1e-6  # a new counter entry's total exceeds a call's amount by at most this share of it
 Calls = list[api.Action]  # calls to the counter, to be made in this order
 
 
-@dataclass(slots=True)
-class SharedBucket:
-    """A leaky bucket kept in one counter entry."""
-
-    name: int  # of the counter entry
-    started_at: float  # when the counter entry came into use, the same for all gateways
-    rate: float  # leak rate in units a second
-    burst: float  # units
-    is_pool: bool = False  # whether it is the pool of a ceiling
-
-    @property
-    def expires_at(self) -> float:
-        """When another counter entry replaces this one, whose total is then no longer used."""
-        return self.started_at + COUNTER_ENTRY_ROTATION_S
-
-    def fill_before(self, now: float, total: float, amount: float) -> float:
-        """The fill before a call added its amount; negative if less was used than could have leaked."""
-        return total - amount - self.rate * (now - self.started_at)
-
-
 @dataclass(slots=True)
 class PendingCall:
     """A call to the counter that awaits its reply.
@@ -101,7 +70,7 @@
     restrictor: Restrictor
     reservation: Reservation | None = None
     extrapolated_units: float = 0.0  # estimate for the similar requests that the counter is not asked about
-    is_fill_up: bool = False  # whether it raises a fill that is too low, see `SharedQuota._correct_underflow`
+    is_fill_up: bool = False  # whether it raises a fill that is too low, see `SharedQuota.apply_total`
 
     @property
     def request(self) -> api.Request | None:
@@ -199,7 +168,7 @@
         # would keep the shared bucket full.
         represented_requests = 1 / probability - 1 if restrictor.would_admit(now, request.units) else 0.0
         extrapolated_units = request.units * represented_requests
-        amount = self._call_amount(request.units + extrapolated_units, restrictor, is_pool=False)
+        amount = self._call_amount(request.units + extrapolated_units, restrictor, bucket)
         return [self._enqueue(PendingCall(now, bucket, amount, restrictor, reservation, extrapolated_units))]
 
     def pool_call(self, now: float, reservation: Reservation) -> Calls:
@@ -211,10 +180,25 @@
         ):
             return []
         name, started_at = self._current_counter_entry(now, request.customer + POOL_KEY_OFFSET)
-        bucket = SharedBucket(name, started_at, *restrictor.pool_limits, is_pool=True)
-        reservation.pool_units = request.units
-        amount = self._call_amount(request.units, restrictor, is_pool=True)
-        return [self._enqueue(PendingCall(now, bucket, amount, restrictor, reservation))]
+        bucket = SharedBucket(
+            name, started_at, *restrictor.pool_limits, is_pool=True, gateways=restrictor.entries
+        )
+        reservation.pool_units, reservation.pool_entry = request.units, name
+        amount = self._call_amount(request.units, restrictor, bucket)
+        return [
+            *self._report_to_replaced_entries(now, restrictor, bucket),
+            self._enqueue(PendingCall(now, bucket, amount, restrictor, reservation)),
+        ]
+
+    def _report_to_replaced_entries(self, now: float, restrictor: Restrictor, current: SharedBucket) -> Calls:
+        """Calls that report what is queued for entries of a pool that another has replaced."""
+        names = [name for name in restrictor.unreported_by_pool_entry if name != current.name]
+        buckets = [replace(current, name=name) for name in names]
+        amounts = [self._call_amount(0.0, restrictor, bucket) for bucket in buckets]
+        return [
+            self._enqueue(PendingCall(now, bucket, amount, restrictor))
+            for bucket, amount in zip(buckets, amounts, strict=True)
+        ]
 
     def _current_counter_entry(self, now: float, key: int) -> tuple[int, float]:
         """Name of the counter entry that serves a key now, and when it came into use.
@@ -224,11 +208,11 @@
         rotation = now / COUNTER_ENTRY_ROTATION_S + key % ROTATION_PHASES / ROTATION_PHASES
         return key << 24 | int(rotation) & 0xFFFFFF, now - rotation % 1 * COUNTER_ENTRY_ROTATION_S
 
-    def _call_amount(self, units: float, restrictor: Restrictor, is_pool: bool) -> float:
+    def _call_amount(self, units: float, restrictor: Restrictor, bucket: SharedBucket) -> float:
         """The units together with those queued, as far as one call may carry them; the rest stays queued."""
-        unreported_units = restrictor.unreported_pool_units if is_pool else restrictor.unreported_units
-        amount = _clamp_amount(units + unreported_units)
-        restrictor.queue_for_next_call(units - amount, is_pool)
+        due = units + restrictor.take_unreported_units(bucket.pool_entry)
+        amount = _clamp_amount(due)
+        restrictor.queue_for_next_call(due - amount, bucket.pool_entry)
         return amount
 
     def _enqueue(self, call: PendingCall) -> api.CounterAdd:
@@ -268,31 +252,45 @@
         to a pool may not have been added, the request's units are not taken back from it: if `release` has
         queued their removal, the same units are queued to cancel it.
         """
-        is_pool, reservation = call.bucket.is_pool, call.reservation
+        pool_entry, reservation = call.bucket.pool_entry, call.reservation
         if not event.ok and not event.maybe_added:
             if reservation:
-                reservation.handle_call_not_added(call.amount, is_pool)
+                reservation.handle_call_not_added(call.amount, pool_entry)
             elif not call.is_fill_up:
-                call.restrictor.queue_for_next_call(call.amount, is_pool)
-        elif is_pool and reservation and not has_total(event):
+                call.restrictor.queue_for_next_call(call.amount, pool_entry)
+        elif call.bucket.is_pool and reservation and not has_total(event):
             if reservation.released:
-                call.restrictor.queue_for_next_call(reservation.pool_units, is_pool)
-            reservation.clear_counter_units(is_pool)
+                call.restrictor.queue_for_next_call(reservation.pool_units, pool_entry)
+            reservation.clear_counter_units(is_pool=True)
 
     def apply_total(self, now: float, event: api.CounterReply, call: PendingCall) -> tuple[float, Calls]:
         """Seconds until the bucket has room for the request, 0 if it has now; and the calls to correct it."""
         assert call.reservation
-        fill, calls = self._correct_underflow(now, event, call)
-        bucket, amount = call.bucket, call.amount - call.extrapolated_units
-        wait = max(0.0, max(0.0, fill) + amount - max(bucket.burst, amount)) / bucket.rate
+        bucket, units, calls = call.bucket, call.reservation.request.units, Calls()
+        total_before = event.total - call.amount
+        if bucket.is_initialized(total_before):
+            fill = bucket.fill(now, total_before)
+            if bucket.has_underflow(fill):
+                calls += self._fill_up_call(now, call, -fill)
+            amount = call.amount - call.extrapolated_units
+            wait = max(0.0, max(0.0, fill) + amount - max(bucket.burst, amount)) / bucket.rate
+        else:
+            calls += self._fill_up_call(now, call, bucket.initial_amount(now, event.total - units))
+            wait = min(units, bucket.burst) / bucket.rate  # as for a full bucket
         # A refused request's units are taken back. The extrapolated ones stay, as the local bucket admits the
         # requests that they stand for.
         if wait:
-            units = call.reservation.request.units
             calls.append(self._enqueue(PendingCall(now, bucket, -units, call.restrictor)))
             call.reservation.clear_counter_units(bucket.is_pool)
         return wait, calls
 
+    def _fill_up_call(self, now: float, call: PendingCall, amount: float) -> Calls:
+        """The call that corrects a total that is too low, as a reply has shown; none if one is under way."""
+        if any(pending.is_fill_up for pending in self.pending.get(call.bucket.name, ())):
+            return []
+        fill_up = PendingCall(now, call.bucket, _clamp_amount(amount), call.restrictor, is_fill_up=True)
+        return [self._enqueue(fill_up)]
+
     def backoff(self, call: PendingCall) -> float:
         """Seconds for which a congested counter is not asked about a customer whose shared bucket was full.
 
@@ -308,29 +306,9 @@
         """Takes back a fill-up if another gateway had already filled the bucket up."""
         if not (call.is_fill_up and has_total(event)):
             return []
-        bucket = call.bucket
-        if (
-            bucket.fill_before(now, event.total, call.amount)
-            <= -UNDO_FILL_UP_THRESHOLD * UNDERFLOW_TOLERANCE * bucket.burst
-        ):
+        if not call.bucket.is_filled_up(now, event.total - call.amount):
             return []
-        return [self._enqueue(PendingCall(now, bucket, -call.amount, call.restrictor))]
-
-    def _correct_underflow(
-        self, now: float, event: api.CounterReply, call: PendingCall
-    ) -> tuple[float, Calls]:
-        """The fill before a call, corrected if it is too low; and the fill-up call that corrects it."""
-        bucket = call.bucket
-        fill = bucket.fill_before(now, event.total, call.amount)
-        if fill >= -UNDERFLOW_TOLERANCE * bucket.burst:
-            return fill, []
-        # A pool's entry that is new, or was lost by the counter, is filled: it must not refill the ceiling.
-        is_new = event.total - call.amount <= NEW_ENTRY_TOLERANCE * abs(call.amount)
-        target_fill = bucket.burst if bucket.is_pool and is_new else 0.0
-        amount = _clamp_amount(target_fill - fill)
-        return target_fill, [
-            self._enqueue(PendingCall(now, bucket, amount, call.restrictor, is_fill_up=True))
-        ]
+        return [self._enqueue(PendingCall(now, call.bucket, -call.amount, call.restrictor))]
 
     def abandon_request(self, request_id: str) -> None:
         """Releases the request of a client that has left: no reply decides on it any more."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -38,9 +38,11 @@
 class Bench:
     """A gateway with a simulated clock and its timers, and short ways to send it events."""
 
-    def __init__(self, hosts: tuple[api.HostInfo, ...] | None = None, seed: int = 1, **changes: Any) -> None:
+    def __init__(
+        self, hosts: tuple[api.HostInfo, ...] | None = None, seed: int = 1, now: float = 100.0, **changes: Any
+    ) -> None:
         self.gateway = Gateway(replace(SETTINGS, **changes), seed)
-        self.now, self.serial = 100.0, 0
+        self.now, self.serial = now, 0
         self.timers: list[tuple[float, int]] = []
         self.seen: list[api.Action] = []
         self.feed(full_list(*(hosts if hosts is not None else (host_info("a"), host_info("b")))))
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -232,9 +232,9 @@
 def test_a_pool_without_room_is_not_called_again_until_it_has_room() -> None:
     bench = bench_with_counter(plans=(replace(CAPPED, excess_cost=0.0),))  # no calls but those to the pool
     _, call = request_with_call(bench)
-    began = bench.gateway.admission.shared_quota.pending[call.name][0].bucket.started_at
-    rate, most = bench.gateway.admission.restrictors[1].pool_limits
-    total = rate * (bench.now - began) + most + rate + call.amount  # has room after about 1 s
+    pool = bench.gateway.admission.shared_quota.pending[call.name][0].bucket
+    fill = pool.burst + pool.rate  # has room after about 1 s
+    total = pool.offset + pool.rate * (bench.now - pool.started_at) + fill + call.amount
     actions = bench.feed(api.CounterReply(call.name, True, total))
     assert [a.amount for a in actions if isinstance(a, api.CounterAdd)] == [-1.0]
     called = []
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -9,6 +9,7 @@
 QUOTA_MODULES: dict[str, set[str] | None] = {  # with the constants that quotas use, None for all of them
     "coralvale/restrictor.py": None,
     "coralvale/shared_quota.py": None,
+    "coralvale/shared_bucket.py": None,
     "coralvale/admission.py": None,
     "coralvale/customers.py": None,
     "coralvale/logic.py": {"QUOTA_RETRY_AFTER_FRACTION", "TIMER_INTERVAL_S"},
