End a connection to a counter that switches protocols without an internal error

Cause: httptools reports such a message by HttpParserUpgrade, which is no HttpParserError; only the latter was caught. Connections to hosts catch both, the watch refuses any status but 200 ahead of it. Change: the counter's connection catches both and closes. The new test failed before, with the fatal error among those that the event loop reported; the outcome of the call was and is the same.

--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -187,7 +187,7 @@
         self.size.add_received(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.close()
         if self.size.overhead_exceeded:
             self.close()
--- a/tests/test_counter_calls.py
+++ b/tests/test_counter_calls.py
@@ -278,3 +278,19 @@
             await until(lambda: peer.closed == 1)
 
     run(test())
+
+
+def test_a_counter_that_switches_protocols_ends_the_connection_without_an_internal_error() -> None:
+    # Guards against a response that the parser reports by an exception of its own (101 with an upgrade).
+
+    async def test() -> None:
+        errors = list[dict[str, object]]()
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            head = b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+            (await peer.next_request()).reply(head)
+            assert await with_timeout(replies.get()) == CounterReply(8, False, 0.0, maybe_added=True)
+        assert not errors
+
+    run(test())
