Let a soak run that is cut short end although an agent has not started

Cause: Agent.close used the listener, which only Agent.start makes, and Run lists an agent ahead of its start. Change: an agent without a listener has nothing to close. The new test cuts a run short just there; it failed before with the same error.

--- a/testbed/standins/discovery.py
+++ b/testbed/standins/discovery.py
@@ -108,6 +108,7 @@
     def __init__(self, registry: Registry, gateway: int) -> None:
         self.registry, self.gateway = registry, gateway
         self.watches: set[Watch] = set()
+        self.server: asyncio.Server | None = None
         registry.agents.append(self)
 
     async def start(self) -> None:
@@ -115,7 +116,8 @@
         self.port = int(self.server.sockets[0].getsockname()[1])
 
     def close(self) -> None:
-        self.server.close()
+        if self.server:
+            self.server.close()
         for watch in list(self.watches):
             watch.writer.transport.abort()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 import subprocess
 import sys
@@ -19,15 +20,17 @@
 from coralvale.shared_quota import MIN_TIME_LEFT_IN_TIMEOUTS
 from testbed.soak.__main__ import build
 from testbed.soak.clients import TIMEOUT_SHARES
-from testbed.soak.gateways import ROOT
+from testbed.soak.gateways import ROOT, GatewayProcess
 from testbed.soak.plan import CLIENT_TIMEOUTS_S, MAX_COUNTER_TIMEOUT_S, MAX_STALL_S, Fault, draw_plan
 from testbed.soak.run import (
     CERTAIN_REPLY_TIME_S,
     LATE_REPLY_TIMEOUTS,
     MIN_RECORDED_LAG_S,
+    Run,
 )
 from testbed.soak.series import run_seed
 from testbed.standins.counter import TRUSTED_REPLY_TIME_S
+from testbed.standins.discovery import Agent
 
 SEEDS = (3, 4, 8, 11, 20, 27)
 SECONDS = 5.0
@@ -85,6 +88,21 @@
     assert [str(violation) for violation in result.violations] == []
 
 
+def test_a_run_that_is_cut_short_while_it_starts_ends_what_it_has_started(tmp_path: Path) -> None:
+    # Guards against an agent that has no listener yet, by which the record of such a run was lost.
+    async def cut_short() -> None:
+        run = Run(draw_plan(1, SECONDS), tmp_path)
+        run.agents.append([Agent(run.registry, 0)])
+        gateway = GatewayProcess(0, tmp_path, lambda: {}, run.add_entry)
+        run.gateways.append(gateway)
+        await gateway.start()
+        assert gateway.is_running
+        await run.close()
+        assert not gateway.is_running
+
+    asyncio.run(cut_short())
+
+
 @pytest.mark.parametrize("options", [["--seeds", "0"], ["--seconds", "x"], ["--jobs", "99"], ["--no-such"]])
 def test_a_wrong_option_is_reported_in_one_line(options: list[str]) -> None:
     result = subprocess.run([*COMMAND, *options], cwd=ROOT, capture_output=True, text=True, check=False)
