Give the soak clients that offer an upgrade and pushes as a pool's counter entry is replaced

Now one request in twelve offers HTTP/2, bodies differ by request, and hosts record whether the body of an attempt is its client's (BODY_CHANGED). In one run of five eight gateways run, and a customer whose pool's entry is replaced some seconds into the run pushes against its ceiling: a spike at one gateway brings the pool into use, the push uses the ceiling up and goes on across the replacement; two in five have a flush of the counter as well, a quarter calls that fail. The checker keeps the second store by the first arrival of each request (CEILING_PASSED); it allows the settings' tolerance (one request) and 0.15 s of the rate, more only for the longest single lag or stall recorded.

--- a/testbed/soak/checker.py
+++ b/testbed/soak/checker.py
@@ -21,6 +21,7 @@
 TIMING_TOLERANCE_S = 0.05  # added to most time limits, as sockets take time
 MAX_PROPAGATION_DELAY_S = 6.0  # after which the gateway must know a change of the host list
 X_TIMEOUT_TOLERANCE_S = 0.15  # by which an attempt's X-Timeout may exceed the client's remaining time
+SEND_DELAY_S = 0.15  # from a decision to the arrival at a host, in which a ceiling's store fills on
 MAX_START_TIME_S = 10.0  # until a process is ready
 # Beyond those at the start and those to hosts: the watch, the connections to the counter and a few more.
 MAX_EXTRA_DESCRIPTORS = 8
@@ -39,6 +40,8 @@
     FORBIDDEN_RETRY = "a further attempt that is not allowed"
     REFUSED_AFTER_ATTEMPT = "a refusal after an attempt that may have run"
     X_TIMEOUT_TOO_LONG = "an attempt with an X-Timeout beyond the client's remaining time"
+    BODY_CHANGED = "an attempt with another body than the client sent"
+    CEILING_PASSED = "more units sent on than a ceiling allows"
     COUNTER_MISMATCH = "units on the counter that do not match the requests"
     NOT_READY = "a process that is not ready in time"
     CRASH = "a process that ended without a signal, or with an internal error"
@@ -85,7 +88,7 @@
         """All violations, in the order of the checks."""
         rules = (
             self._check_responses, self._check_retries, self._check_attempts, self._check_drains,
-            self._check_counter, self._check_processes,
+            self._check_counter, self._check_ceilings, self._check_processes,
         )  # fmt: skip
         return [violation for rule in rules for violation in rule()]
 
@@ -178,6 +181,8 @@
         for request, history in self.histories.items():
             for attempt in history.attempts:
                 sent = history.last_sent_before(attempt.at)
+                if not attempt.is_whole:
+                    yield Violation(Rule.BODY_CHANGED, request, f"an attempt at {attempt.host}")
                 if history.client_left and not self._is_within(
                     sent.gateway,
                     history.client_left.at,
@@ -323,6 +328,36 @@
         """Whether it may have had an attempt that no host saw, as the connection to the host failed."""
         return not any(a.status == 200 for a in history.responses)
 
+    # Ceilings
+
+    def _check_ceilings(self) -> Iterator[Violation]:
+        # The longest delays and not their sum bound how long before an arrival its gateway decided on it.
+        late = max(SEND_DELAY_S, self._longest_delay(of_gateways=True)) + self._longest_delay(False)
+        for ceiling in self.conditions.ceilings:
+            level, updated_at = ceiling.burst, 0.0
+            for at, units in self._first_arrivals(ceiling.customer):
+                level = min(ceiling.burst, level + ceiling.rate * (at - updated_at)) - units
+                updated_at = at
+                if level < -ceiling.tolerance - ceiling.rate * late:
+                    text = f"{level:.1f} units in its second store, {-ceiling.tolerance:g} allowed"
+                    yield Violation(Rule.CEILING_PASSED, f"customer {ceiling.customer}", text)
+                    break
+
+    def _longest_delay(self, of_gateways: bool) -> float:
+        """Seconds of the longest delay of a gateway, or else of the test's event loop."""
+        return max(
+            (delay.until - delay.at for delay in self.delays if (delay.gateway >= 0) is of_gateways),
+            default=0.0,
+        )
+
+    def _first_arrivals(self, customer: int) -> list[tuple[float, float]]:
+        """When each request of a customer first reached a host, and its units, in the order of the times."""
+        return sorted(
+            (min(attempt.at for attempt in history.attempts), history.sent[0].units)
+            for history in self.histories.values()
+            if history.attempts and history.sent[0].customer == customer
+        )
+
     # Processes
 
     def _check_processes(self) -> Iterator[Violation]:
--- a/testbed/soak/clients.py
+++ b/testbed/soak/clients.py
@@ -21,6 +21,13 @@
 # Drawn evenly, so "safe" is twice as frequent.
 REQUEST_CLASSES: tuple[r.Repeat, ...] = ("safe", "safe", "keyed", "unsafe")
 PLANS = ("team", "capped")
+PUSHED_PLAN = "pushed"  # only its ceiling limits
+OFFER_SHARE = 0.08  # of the requests: their client offers to go on with HTTP/2, as RFC 7540, 3.2, has it
+OFFER = (
+    "Connection: Upgrade, HTTP2-Settings",
+    "Upgrade: h2c",
+    "HTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA",
+)
 AUDITED_GATEWAY = 0
 # On plan `team`. All their requests go to that gateway, so that their units on the counter can be checked.
 AUDITED_CUSTOMERS = (5, 13, 34)
@@ -37,10 +44,17 @@
     customer: int
     units: int  # quota units
     timeout: float  # s
-    leaves_after: float | None  # s until the client closes its connection; None: it waits for the response
+    leaves_after: float | None = None  # s until the client closes its connection; None: it waits
+    gateway: int | None = None  # the only one that gets it; None: any
+    offers_upgrade: bool = False
+    entry_gateways: int | None = None  # that receive the customer's requests; None: as many as usual
+
+    @property
+    def body(self) -> bytes:
+        return b"" if self.idempotency == "safe" else self.id.encode()
 
     def encode(self, entry_gateways: int) -> bytes:
-        """The request as HTTP; `entry_gateways` is how many gateways receive the customer's requests."""
+        """The request as HTTP; `entry_gateways` is how many gateways usually receive a customer's."""
         method = "GET" if self.idempotency == "safe" else "POST"
         lines = [
             f"{method} /api HTTP/1.1",
@@ -50,13 +64,15 @@
             f"Plan: {self.plan}",
             f"Cookie: client={self.customer:016x}",
             f"X-Timeout: {self.timeout:.3f}",
-            f"Quota-Info: units={self.units},spread={entry_gateways},first=0",
+            f"Quota-Info: units={self.units},spread={self.entry_gateways or entry_gateways},first=0",
         ]
+        if self.offers_upgrade:
+            lines += OFFER
         if self.idempotency == "keyed":
             lines.append(f"Idempotency-Key: {self.id}")
         if method == "POST":
-            lines.append("Content-Length: 4")
-        return "\r\n".join(lines).encode() + b"\r\n\r\n" + (b"body" if method == "POST" else b"")
+            lines.append(f"Content-Length: {len(self.body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + self.body
 
 
 @dataclass(eq=False)
@@ -112,6 +128,8 @@
             units=rng.choice((1, 1, 2, 4)),
             timeout=timeout,
             leaves_after=rng.uniform(0.0, rng.choice((0.03, 0.8))) * timeout if leaves else None,
+            gateway=AUDITED_GATEWAY if is_audited else None,
+            offers_upgrade=rng.random() < OFFER_SHARE,
         )
 
     async def send_requests(self, seconds: float, per_second: float) -> None:
@@ -150,9 +168,8 @@
 
         None if no gateway accepts a new connection. `only_new` leaves out idle connections.
         """
-        audited_only = request.customer in AUDITED_CUSTOMERS
         if not only_new:
-            idle = [c for c in self.idle if c.gateway.index == AUDITED_GATEWAY or not audited_only]
+            idle = [c for c in self.idle if request.gateway in (None, c.gateway.index)]
             while idle:
                 connection = idle.pop(self.rng.randrange(len(idle)))
                 self.idle.remove(connection)
@@ -160,9 +177,7 @@
                     return connection
                 connection.writer.close()
         open_gateways = [
-            g
-            for g in self.gateways
-            if self._accepts_connections(g) and (g.index == AUDITED_GATEWAY or not audited_only)
+            g for g in self.gateways if self._accepts_connections(g) and request.gateway in (None, g.index)
         ]
         self.rng.shuffle(open_gateways)
         for gateway in open_gateways:
--- a/testbed/soak/record.py
+++ b/testbed/soak/record.py
@@ -69,6 +69,7 @@
     host_started: float  # Unix time of the host's last start; 0: long ago
     first_byte: float  # when its first byte was read
     patience: float  # s, from its X-Timeout header
+    is_whole: bool = True  # its body is the one that the client sent
 
 
 class AttemptEnded(Entry, frozen=True):
@@ -185,6 +186,15 @@
 )
 
 
+class Ceiling(msgspec.Struct, frozen=True):
+    """A customer's second store: it starts full, and each request that reaches a host takes its units."""
+
+    customer: int
+    rate: float  # units a second, at which it fills
+    burst: float  # units, the most that it holds
+    tolerance: float  # units by which it may fall below 0
+
+
 class Conditions(msgspec.Struct, frozen=True):
     """Parameters of a run that the checker needs."""
 
@@ -193,6 +203,7 @@
     key_window: float  # s within which a keyed request may be sent again
     longest_patience: float  # s, the longest timeout of a client
     books_customers: tuple[int, ...]  # send only to gateway 0, which is never restarted
+    ceilings: tuple[Ceiling, ...] = ()  # of customers that push against them
 
 
 class Record(msgspec.Struct):
--- a/testbed/soak/run.py
+++ b/testbed/soak/run.py
@@ -9,8 +9,18 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
+from testbed.soak import pushes
 from testbed.soak import record as r
-from testbed.soak.clients import AUDITED_CUSTOMERS, AUDITED_GATEWAY, PLANS, Clients, Request
+from testbed.soak.clients import (
+    AUDITED_CUSTOMERS,
+    AUDITED_GATEWAY,
+    PLANS,
+    PUSHED_PLAN,
+    Clients,
+    Request,
+)
 from testbed.soak.gateways import GatewayProcess
 from testbed.soak.plan import Fault, FaultEvent, RunPlan
 from testbed.standins.counter import Call, CallOutcome, Counter
@@ -77,6 +87,9 @@
             begin = time.monotonic()
             for event in self.plan.events:
                 self._spawn(self._inject(begin, event))
+            if self.plan.push:
+                pushing = pushes.PushingClients(self.plan.push, clients, self.rng, self._add_ceiling)
+                self._spawn(pushing.send_requests(begin))
             await clients.send_requests(self.plan.seconds, self.plan.requests_per_second)
             while len(self.tasks) > 1:  # the last one is `_record_lag`
                 await asyncio.sleep(POLL_INTERVAL_S)
@@ -139,7 +152,15 @@
             for customer in calls_before:
                 request_id = f"f{customer}-{number}"
                 clients.start_request(
-                    Request(request_id, "safe", PLANS[0], customer, 1, self.plan.client_timeout, None)
+                    Request(
+                        request_id,
+                        "safe",
+                        PLANS[0],
+                        customer,
+                        1,
+                        self.plan.client_timeout,
+                        gateway=AUDITED_GATEWAY,
+                    )
                 )
             await clients.finish()
             calls_before = {
@@ -215,6 +236,10 @@
                 if lag > MIN_RECORDED_LAG_S:  # the system adds a wait once it is over
                     self.add_entry(r.Delayed(begin - lag, gateway.index, now))
 
+    def _add_ceiling(self, ceiling: r.Ceiling) -> None:
+        conditions = self.record.conditions
+        self.record.conditions = msgspec.structs.replace(conditions, ceilings=(*conditions.ceilings, ceiling))
+
     # Callbacks of the stand-ins
 
     def _on_status_sent(self, gateway: int, host: str, status: str) -> None:
@@ -225,6 +250,8 @@
 
     def _on_arrival(self, host: Host, arrival: Arrival) -> None:
         timeout = float(arrival.message.headers.get(b"x-timeout", b"0"))
+        is_post = arrival.message.start_line.startswith(b"POST ")
+        own_body = arrival.request_id.encode() if is_post else b""  # see `Request.body`
         self.add_entry(
             r.AttemptArrived(
                 arrival.last_byte_at,
@@ -233,6 +260,7 @@
                 host.started_at,
                 arrival.first_byte_at,
                 timeout,
+                arrival.message.body == own_body,
             )
         )
 
@@ -279,6 +307,8 @@
             self.registry.silence_watches()
         elif event.fault is Fault.DISCOVERY_DOWN:
             self.registry.go_down(event.duration)
+        elif event.fault is Fault.COUNTER_FLUSH:
+            self.counter.flush()
         elif event.fault is Fault.COUNTER_FAULTS:
             self.counter_faults_until = time.monotonic() + event.duration
         else:
@@ -385,6 +415,11 @@
                     "name": PLANS[1], "per_second": 50.0, "most_at_once": 100.0, "excess_cost": 1.0,
                     "never_over_rate": 100.0, "hard_burst": 200.0, "tolerance": 20.0,
                 },
+                {
+                    "name": PUSHED_PLAN, "per_second": 1000.0, "most_at_once": 1000.0, "excess_cost": 0.0,
+                    "never_over_rate": pushes.CEILING_RATE, "hard_burst": pushes.CEILING_BURST,
+                    "tolerance": pushes.CEILING_TOLERANCE,
+                },
             ],
             "ceilings": {
                 "send_cap": 4, "connect_timeout_s": 0.25, "conn_idle_s": 15.0, "most_held": 400,
--- a/testbed/standins/counter.py
+++ b/testbed/standins/counter.py
@@ -101,6 +101,11 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def flush(self) -> None:
+        """Forgets all entries."""
+        self.totals.clear()
+        self.expires_at.clear()
+
     def add(self, name: int, amount: float, lifetime: float) -> float:
         """Adds to an entry, which expires `lifetime` seconds after its first call; returns its total."""
         now = time.monotonic()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,14 +14,19 @@
 from pathlib import Path
 
 import pytest
+from helpers import SETTINGS
 
+from coralvale import Gateway
 from coralvale.net.counter import STALL_TIMEOUT_S
 from coralvale.net.node import RESPONSE_MARGIN_S
-from coralvale.shared_quota import MIN_TIME_LEFT_IN_TIMEOUTS
+from coralvale.restrictor import WIDE_SET_MIN_GATEWAYS
+from coralvale.shared_bucket import COUNTER_ENTRY_ROTATION_S
+from coralvale.shared_quota import MIN_TIME_LEFT_IN_TIMEOUTS, POOL_KEY_OFFSET, ROTATION_PHASES
 from testbed.soak.__main__ import build
 from testbed.soak.clients import TIMEOUT_SHARES
 from testbed.soak.gateways import ROOT, GatewayProcess
 from testbed.soak.plan import CLIENT_TIMEOUTS_S, MAX_COUNTER_TIMEOUT_S, MAX_STALL_S, Fault, draw_plan
+from testbed.soak.pushes import choose_customer, next_replacement
 from testbed.soak.run import (
     CERTAIN_REPLY_TIME_S,
     LATE_REPLY_TIMEOUTS,
@@ -32,7 +37,7 @@
 from testbed.standins.counter import TRUSTED_REPLY_TIME_S
 from testbed.standins.discovery import Agent
 
-SEEDS = (3, 4, 8, 11, 20, 27)
+SEEDS = (3, 4, 8, 11, 20, 27, 25, 93)  # the last two have a push against a ceiling
 SECONDS = 5.0
 COMMAND = [sys.executable, "-m", "testbed.soak"]
 
@@ -62,6 +67,31 @@
     }
 
 
+def test_in_most_pushes_the_counter_works_while_the_pool_is_used_up_and_replaced() -> None:
+    # Guards against pushes that could not pass a ceiling, whatever the gateways do.
+    plans = [plan for plan in (draw_plan(seed, 8.0) for seed in range(200)) if plan.push]
+    assert 20 < len(plans) < 60 and {plan.gateways for plan in plans} == {WIDE_SET_MIN_GATEWAYS}
+    undisturbed = 0
+    for plan in plans:
+        assert plan.push and 0.0 < plan.push.needs_counter_from < plan.push.replaced_after < plan.seconds
+        faults = [event for event in plan.events if event.fault is Fault.COUNTER_FAULTS]
+        undisturbed += all(event.at + event.duration < plan.push.needs_counter_from for event in faults)
+    assert undisturbed > len(plans) / 2
+
+
+@pytest.mark.parametrize("after", [0.0, 12.3, 1.7e9])
+def test_a_pushing_customers_entry_is_replaced_at_about_the_wanted_time(after: float) -> None:
+    customer = choose_customer(after)
+    replaced_at = next_replacement(customer, after)
+    assert after < replaced_at < after + 1.1 * COUNTER_ENTRY_ROTATION_S / ROTATION_PHASES
+    shared_quota = Gateway(SETTINGS, 1).admission.shared_quota
+    names = [
+        shared_quota._current_counter_entry(at, customer + POOL_KEY_OFFSET)[0]
+        for at in (replaced_at - 0.001, replaced_at + 0.001)
+    ]
+    assert names[0] != names[1]
+
+
 @pytest.mark.parametrize("client_timeout", CLIENT_TIMEOUTS_S)
 def test_a_gateway_has_not_given_up_a_call_whose_result_is_recorded_as_certain(client_timeout: float) -> None:
     # Guards against a false COUNTER_MISMATCH: lag before the call is read and after its reply is written.
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+from msgspec import structs
 
 from testbed.soak import record as r
 from testbed.soak.checker import MAX_MEMORY_GROWTH_BYTES, Rule, check
@@ -46,12 +47,14 @@
 ]
 
 
-def violated_rules(*entries: r.AnyEntry, served: bool = True) -> list[Rule]:
+def violated_rules(
+    *entries: r.AnyEntry, served: bool = True, conditions: r.Conditions = CONDITIONS
+) -> list[Rule]:
     """The rules violated in a good record with these entries added."""
     all_entries = [*STARTED, *(SERVED if served else []), *entries]
     if not any(isinstance(e, r.ProcessExited) for e in entries):
         all_entries += ENDED
-    return [violation.rule for violation in check(r.Record(CONDITIONS, all_entries))]
+    return [violation.rule for violation in check(r.Record(conditions, all_entries))]
 
 
 def violated_with_unsafe(*entries: r.AnyEntry) -> list[Rule]:
@@ -213,6 +216,49 @@
     assert violated_rules(*lost_units, r.Delayed(2.95, 1, 2.98)) == [Rule.COUNTER_MISMATCH]
 
 
+def test_a_host_gets_the_body_that_the_client_sent() -> None:
+    request = sent(2.0, "q2", customer=9)
+    changed = r.AttemptArrived(2.01, "q2", "h1", 0.0, 2.0, 1.9, is_whole=False)
+    assert violated_rules(request, changed, answered(2.1, "q2")) == [Rule.BODY_CHANGED]
+    assert violated_rules(request, arrived(2.01, "q2"), answered(2.1, "q2")) == []
+
+
+def served_under_a_ceiling(count: int, begin: float = 2.0) -> list[r.AnyEntry]:
+    """Requests of 4 units each that reach a host within 0.01 s, each of them twice."""
+    entries: list[r.AnyEntry] = []
+    for number in range(count):
+        name = f"c{begin}-{number}"
+        entries.append(sent(begin, name, customer=9, units=4.0))
+        entries += [arrived(begin + 0.01, name), arrived(begin + 0.02, name, "h2")]
+        entries.append(answered(begin + 0.05, name))
+    return entries
+
+
+def test_no_more_units_reach_hosts_than_a_ceiling_allows() -> None:
+    ceiling = r.Ceiling(customer=9, rate=10.0, burst=40.0, tolerance=4.0)
+    conditions = structs.replace(CONDITIONS, ceilings=(ceiling,))
+    # The burst and the tolerance, and what the rate gives in 0.15 s.
+    assert violated_rules(*served_under_a_ceiling(11), conditions=conditions) == []
+    passed = served_under_a_ceiling(12)
+    assert violated_rules(*passed, conditions=conditions) == [Rule.CEILING_PASSED]
+    assert violated_rules(*passed) == []  # another customer's
+    again = [*served_under_a_ceiling(11), *served_under_a_ceiling(5, begin=4.0)]
+    assert violated_rules(*again, conditions=conditions) == []
+    again = [*served_under_a_ceiling(11), *served_under_a_ceiling(6, begin=4.0)]
+    assert violated_rules(*again, conditions=conditions) == [Rule.CEILING_PASSED]
+
+
+def test_a_ceiling_allows_for_the_longest_delay_of_a_gateway_and_of_the_test() -> None:
+    # Guards against a false alarm: an attempt that was decided on earlier arrives with later ones.
+    ceiling = r.Ceiling(customer=9, rate=10.0, burst=40.0, tolerance=4.0)
+    conditions = structs.replace(CONDITIONS, ceilings=(ceiling,))
+    passed = served_under_a_ceiling(12)
+    stall, lag = r.Delayed(1.0, 0, 1.3), r.Delayed(1.0, -1, 1.15)
+    assert violated_rules(*passed, stall, lag, conditions=conditions) == []
+    many = [r.Delayed(0.5 + 0.1 * i, 0, 0.55 + 0.1 * i) for i in range(10)]
+    assert violated_rules(*passed, *many, conditions=conditions) == [Rule.CEILING_PASSED]
+
+
 def test_processes_are_ready_in_time_and_end_only_when_signalled() -> None:
     started = r.ProcessStarted(5.0, 1, 0)
     ready = r.ProcessReady(15.2, 1, 0, 15, MEMORY)
--- a/tests/test_soak_counter.py
+++ b/tests/test_soak_counter.py
@@ -102,3 +102,10 @@
             assert [call.is_reply_trusted for call in caller.calls] == [True, False]
 
     run(test())
+
+
+def test_a_flush_makes_the_counter_begin_all_totals_anew() -> None:
+    counter = Counter(lambda: CallOutcome.ADDED, lambda: 0.0, 0.0, lambda call: None)
+    assert [counter.add(7, 2.0, 60.0), counter.add(7, 2.0, 60.0)] == [2.0, 4.0]
+    counter.flush()
+    assert counter.add(7, 2.0, 60.0) == 2.0
