Give a client connection an interface of what it needs of its server

net/server.py and net/client_connection.py imported each other, for types alone on one side. ConnectionOwner names what a connection asks of the server that accepted it; the import at type checking is gone, and the connection no longer reaches through the server to its handler. No behaviour changes; the tests of the server, of offers, turns, leaving clients and the status log pass.

--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -5,19 +5,17 @@
 import asyncio
 import select
 import time
-from collections import deque
-from typing import TYPE_CHECKING, Any
+from collections import OrderedDict, deque
+from typing import Any, Protocol
 
 import httptools
 
 from coralvale.net.arrival_times import ArrivalTimes
-from coralvale.net.memory import CLIENT_CONNECTION_BYTES, REQUEST_BYTES, HeldBytes
+from coralvale.net.memory import CLIENT_CONNECTION_BYTES, REQUEST_BYTES, HeldBytes, MemoryBudget
 from coralvale.net.message_size import MessageSize
 from coralvale.net.request_body import InvalidBodyLength, RequestBody
 from coralvale.net.request_parser import RequestParser
-
-if TYPE_CHECKING:
-    from coralvale.net.server import Server
+from coralvale.net.turns import TurnQueue
 
 MAX_OVERHEAD_BYTES = 16 * 1024  # of a request besides its body, such as its request line and headers
 READ_SIZE_BYTES = 16 * 1024  # read from a socket at once; also the most that is parsed at once, of a body
@@ -52,6 +50,31 @@
 }  # fmt: skip
 
 
+class ConnectionOwner(Protocol):
+    """What a connection needs of the server that has accepted it."""
+
+    budget: MemoryBudget
+    turns: TurnQueue
+    read_buffer: memoryview  # into which all connections read, emptied after each read
+    # The connections that are idle, that receive a request, and whose client does not read, oldest first.
+    idle_connections: OrderedDict[ClientConnection, None]
+    receiving: dict[ClientConnection, None]
+    write_blocked: dict[ClientConnection, None]
+    draining: bool
+
+    def dispatch(self, exchange: Exchange) -> None:
+        """Answers a request that was received, or passes it on to the handler."""
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Tells the handler that the client no longer waits for a request."""
+
+    def linger(self, connection: ClientConnection) -> None:
+        """Closes a connection on which more is coming in, once its last response has had time to arrive."""
+
+    def remove(self, connection: ClientConnection) -> None:
+        """Forgets a connection that has ended."""
+
+
 class Exchange:
     """One request on a connection and the response to it."""
 
@@ -123,7 +146,7 @@
     until `READ_AHEAD_BYTES` wait.
     """
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: ConnectionOwner) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.held = HeldBytes(server.budget)
@@ -454,7 +477,7 @@
         for exchange in self.exchanges:
             if exchange.response_head is None:
                 exchange.response_head = b""  # so that a later reply is ignored
-                self.server.handler.client_disconnected(exchange)
+                self.server.abandon(exchange)
         self.exchanges.clear()
 
     def is_idle(self) -> bool:
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -291,6 +291,10 @@
         else:
             exchange.reject(404)
 
+    def abandon(self, exchange: Exchange) -> None:
+        """Tells the handler that the client no longer waits for a request."""
+        self.handler.client_disconnected(exchange)
+
     def _reason_to_refuse(self, exchange: Exchange) -> Rejection | None:
         """Why a request must be refused before it is looked at, None if it need not."""
         if exchange.connection.is_overflow:
