--- a/coralvale/shared_bucket.py
+++ b/coralvale/shared_bucket.py
@@ -17,13 +17,11 @@
 from dataclasses import dataclass
 
 COUNTER_ENTRY_ROTATION_S = 50.0  # time for which a counter entry serves, after which another replaces it
-# A shared bucket's fill may be negative by this share of its burst before it is filled up.
-UNDERFLOW_TOLERANCE = 0.25
-# A fill-up is undone if the underflow that it met was below this share of UNDERFLOW_TOLERANCE.
-UNDO_FILL_UP_THRESHOLD = 0.5
-# The offset of an initialized pool, in the units that a pool admits while its entry serves. All calls under
-# way at once must stay below it; but the larger it is, the less exact are the seven digits of a total.
-OFFSET_IN_ENTRY_UNITS = 64.0
+UNDERFLOW_TOLERANCE = 0.25  # of the burst, by which a fill may be negative before it is filled up
+UNDO_FILL_UP_THRESHOLD = 0.5  # of that tolerance: a fill-up that met a smaller underflow is undone
+# The offset of an initialized pool. All calls under way at once must stay below it; but the larger it is, the
+# less exact are the seven digits of a total.
+OFFSET_IN_ENTRY_UNITS = 64.0  # times the units that a pool admits while its entry serves
 
 
 @dataclass(frozen=True, slots=True)
--- a/testbed/soak/clients.py
+++ b/testbed/soak/clients.py
@@ -112,16 +112,20 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.last_id = 0
 
+    def next_id(self) -> str:
+        """An id that no request has had."""
+        self.last_id += 1
+        return f"q{self.last_id}"
+
     def draw_request(self) -> Request:
         """Draws the next request."""
-        self.last_id += 1
         rng = self.rng
         is_audited, leaves = rng.random() < 0.25, rng.random() < ABANDON_SHARE
         timeout = rng.uniform(*TIMEOUT_SHARES) * self.timeout
         if rng.random() < SHORT_TIMEOUT_SHARE:
             timeout = rng.uniform(0.01, 0.1)
         return Request(
-            id=f"q{self.last_id}",
+            id=self.next_id(),
             idempotency=rng.choice(REQUEST_CLASSES),
             plan=PLANS[0] if is_audited else rng.choice(PLANS),
             customer=rng.choice(AUDITED_CUSTOMERS if is_audited else OTHER_CUSTOMERS),
--- a/testbed/soak/pushes.py
+++ b/testbed/soak/pushes.py
@@ -65,9 +65,8 @@
         await asyncio.sleep(max(0.0, due - time.monotonic()))
 
     def _send(self, customer: int, gateway: int) -> None:
-        self.clients.last_id += 1
         request = Request(
-            id=f"q{self.clients.last_id}",
+            id=self.clients.next_id(),
             idempotency="safe",
             plan=PUSHED_PLAN,
             customer=customer,
