--- a/coralvale/net/request_parser.py
+++ b/coralvale/net/request_parser.py
@@ -41,6 +41,11 @@
     announces the same body, then reads that body and all later requests.
     """
 
+    __slots__ = (
+        "ends_at_head", "events", "on_body", "on_chunk_header", "on_header", "on_message_begin", "on_url",
+        "parser",
+    )  # fmt: skip
+
     def __init__(self, events: RequestEvents) -> None:
         self.events = events
         self.ends_at_head = False  # whether llhttp ends the current request behind its head
@@ -97,6 +102,8 @@
 class _BehindHead:
     """The callbacks of a parser that takes over: its first head is not reported."""
 
+    __slots__ = ("in_first_head", "on_body", "on_chunk_header", "on_message_complete", "parser")
+
     def __init__(self, parser: RequestParser) -> None:
         self.parser = parser
         self.in_first_head = True
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -264,9 +264,8 @@
 
     def dispatch(self, exchange: Exchange) -> None:
         """Answers a request that was received, or passes it on to the handler."""
-        if (
-            not exchange.is_complete
-        ):  # whatever the parser says: a host would run what the client did not send
+        # Whatever the parser says: a host would run what the client did not send.
+        if not exchange.is_complete:
             self.status_log.count(Rejection.INVALID)
             exchange.reject(400, b"the body is not as long as the head says\n")
             return
--- a/coralvale/shared_quota.py
+++ b/coralvale/shared_quota.py
@@ -192,13 +192,13 @@
 
     def _report_to_replaced_entries(self, now: float, restrictor: Restrictor, current: SharedBucket) -> Calls:
         """Calls that report what is queued for entries of a pool that another has replaced."""
-        names = [name for name in restrictor.unreported_by_pool_entry if name != current.name]
-        buckets = [replace(current, name=name) for name in names]
-        amounts = [self._call_amount(0.0, restrictor, bucket) for bucket in buckets]
-        return [
-            self._enqueue(PendingCall(now, bucket, amount, restrictor))
-            for bucket, amount in zip(buckets, amounts, strict=True)
-        ]
+        calls = Calls()
+        for name in list(restrictor.unreported_by_pool_entry):
+            if name != current.name:
+                bucket = replace(current, name=name)
+                amount = self._call_amount(0.0, restrictor, bucket)
+                calls.append(self._enqueue(PendingCall(now, bucket, amount, restrictor)))
+        return calls
 
     def _current_counter_entry(self, now: float, key: int) -> tuple[int, float]:
         """Name of the counter entry that serves a key now, and when it came into use.
--- a/testbed/soak/__main__.py
+++ b/testbed/soak/__main__.py
@@ -12,7 +12,7 @@
 from testbed.soak.gateways import ROOT, deploy_command
 from testbed.soak.series import RunResult, run_all
 
-MAX_JOBS = 8  # runs in parallel; each has four processes
+MAX_JOBS = 8  # runs in parallel; each has four processes, or nine with a push
 BUILD_TIMEOUT_S = 300.0
 MAX_PRINTED_VIOLATIONS = 10  # of each run
 EXIT_FAILED, EXIT_WRONG_OPTION, EXIT_INTERRUPTED = 1, 2, 128 + signal.SIGINT  # exit codes
--- a/testbed/soak/checker.py
+++ b/testbed/soak/checker.py
@@ -332,7 +332,9 @@
 
     def _check_ceilings(self) -> Iterator[Violation]:
         # The longest delays and not their sum bound how long before an arrival its gateway decided on it.
-        late = max(SEND_DELAY_S, self._longest_delay(of_gateways=True)) + self._longest_delay(False)
+        late = max(SEND_DELAY_S, self._longest_delay(of_gateways=True)) + self._longest_delay(
+            of_gateways=False
+        )
         for ceiling in self.conditions.ceilings:
             level, updated_at = ceiling.burst, 0.0
             for at, units in self._first_arrivals(ceiling.customer):
@@ -343,7 +345,7 @@
                     yield Violation(Rule.CEILING_PASSED, f"customer {ceiling.customer}", text)
                     break
 
-    def _longest_delay(self, of_gateways: bool) -> float:
+    def _longest_delay(self, *, of_gateways: bool) -> float:
         """Seconds of the longest delay of a gateway, or else of the test's event loop."""
         return max(
             (delay.until - delay.at for delay in self.delays if (delay.gateway >= 0) is of_gateways),
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -44,6 +44,8 @@
         (b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 20_000, Outcome.ERROR),
         (b"HTTP/1.1 102 Processing\r\n\r\n" * 3 + http_response(), Outcome.OK),
         (b"HTTP/1.1 102 Processing\r\n\r\n" * 100, Outcome.ERROR),
+        (http_response(Connection="Upgrade", Upgrade="h2c"), Outcome.OK),  # an offer of the host
+        (b"HTTP/1.1 101 x\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n", Outcome.ERROR),
         (http_response(Usage_Percent="1e999", X_Server_Load="[" * 9000), Outcome.OK),
     ],
 )
